--- a/src/control/control_program.cc
+++ b/src/control/control_program.cc
@@ -1,5 +1,6 @@
 #include "control/control_program.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -38,6 +39,15 @@
   };
 }
 
+/// An instance that joins a group which its settings do not name must not found one.
+bool IsFounder(const Settings& settings) {
+  const std::vector<Endpoint> seeds = settings.Addresses("seeds");
+  const std::string self = settings.Address("streams").address;
+  return seeds.empty() ||
+         std::any_of(seeds.begin(), seeds.end(),
+                     [&self](const Endpoint& seed) { return seed.address == self; });
+}
+
 ControlService::Distribution DistributionBy(Publisher* publisher) {
   return {[publisher](const Version& version,
                       std::shared_ptr<const Configuration> configuration) {
@@ -58,6 +68,7 @@
       events_(events, clock),
       agreement_random_(SeedFromSystem()),
       publisher_random_(SeedFromSystem()),
+      membership_random_(SeedFromSystem()),
       runtime_(RuntimeRegistry::Instance().Create(
           "asio", static_cast<int>(settings.Integer("workers")))),
       agreement_executor_(runtime_->MakeExecutor()),
@@ -80,8 +91,10 @@
           })) {
   // A stop signal during the start is kept until the instance can stop gracefully.
   runtime_->OnStopSignal([this] { stop_signal_.set_value(); });
+  // Settings come in flags and variables, which only a new process can read.
+  runtime_->OnReloadSignal([this] { events_.Emit({"settings.kept", {}}); });
   AgreementOptions options;
-  options.bootstrap = settings.Flag("bootstrap");
+  options.bootstrap = settings.Flag("bootstrap") && IsFounder(settings);
   agreement_ = std::make_unique<AgreementService>(
       AgreementPeer{settings.Text("instance"), settings.Address("streams")},
       AgreementPeers(peers_), machine_.get(), storage_.get(), rpc_client_.get(),
@@ -108,15 +121,75 @@
                               rpc_client_.get(), rpc_server_.get(),
                               control_executor_.get(), clock_, &events_},
       settings.Text("instance"), settings.Text("data-centre"), lookup);
-  keys_ = std::make_unique<KeyGroupKeeper>(
-      KeyGroupKeeper::Dependencies{agreement_.get(), machine_.get(), service_.get(),
-                                   rpc_client_.get(), control_executor_.get(), clock_,
-                                   &events_},
-      KeyGroupSettings{});
+  if (settings.Flag("key-groups")) {
+    keys_ = std::make_unique<KeyGroupKeeper>(
+        KeyGroupKeeper::Dependencies{agreement_.get(), machine_.get(), service_.get(),
+                                     rpc_client_.get(), control_executor_.get(), clock_,
+                                     &events_},
+        KeyGroupSettings{});
+  }
   group_ = std::make_unique<ControlGroupKeeper>(ControlGroupKeeper::Dependencies{
       agreement_.get(), machine_.get(), control_executor_.get(), clock_, &events_});
   metrics_ = MetricsFormatRegistry::Instance().Create("prometheus");
   admin_ = AdminServerRegistry::Instance().Create("cpprest");
+  if (!settings.Text("gossip").empty()) MakeMembership();
+  if (!settings.Text("orders").empty()) MakeOrders(lookup);
+}
+
+void ControlProgram::MakeMembership() {
+  datagrams_ = DatagramSocketRegistry::Instance().Create("udp", runtime_.get());
+  const Endpoint gossip = settings_.Address("gossip");
+  const Endpoint streams = settings_.Address("streams");
+  Member self;
+  self.set_instance(settings_.Text("instance"));
+  self.set_data_centre(settings_.Text("data-centre"));
+  self.set_incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Duration>(clock_->WallNow().time_since_epoch())
+          .count()));
+  self.set_gossip_address(gossip.ToString());
+  self.set_stream_address(streams.ToString());
+  self.set_control(true);
+  std::vector<Endpoint> seeds;
+  for (const Endpoint& seed : settings_.Addresses("seeds")) {
+    if (seed.address != gossip.address) seeds.push_back({seed.address, gossip.port});
+  }
+  membership_ = std::make_unique<ControlMembership>(
+      std::move(self), gossip, std::move(seeds),
+      ControlMembership::Dependencies{datagrams_.get(), rpc_client_.get(),
+                                      rpc_server_.get(), control_executor_.get(), clock_,
+                                      &membership_random_, &events_});
+  if (!settings_.Flag("repair-group")) return;
+  repairer_ = std::make_unique<GroupRepairer>(
+      GroupRepairer::Dependencies{agreement_.get(), membership_.get(),
+                                  control_executor_.get(), clock_, &events_},
+      GroupRepairSettings{});
+}
+
+void ControlProgram::MakeOrders(const PeerLookup& lookup) {
+  // The leader first; without one, anybody who may know it.
+  const auto peers = [this, lookup] {
+    std::vector<Endpoint> known;
+    if (const auto leader = lookup(agreement_->leadership().leader)) {
+      known.push_back(*leader);
+    }
+    const std::string self = settings_.Text("instance");
+    for (const GroupMember& member : agreement_->group()) {
+      if (member.name != self) known.push_back(member.endpoint);
+    }
+    if (!known.empty() || membership_ == nullptr) return known;
+    for (const ControlMembership::Peer& peer : membership_->controls()) {
+      if (peer.name != self) known.push_back(peer.streams);
+    }
+    return known;
+  };
+  orders_ = std::make_unique<OrderService>(
+      OrderService::Dependencies{agreement_.get(), machine_.get(), rpc_client_.get(),
+                                 rpc_server_.get(), control_executor_.get(), clock_,
+                                 &events_},
+      peers);
+  order_interface_ = OrderInterfaceRegistry::Instance().Create(
+      settings_.Text("order-interface"), orders_.get());
+  order_server_ = AdminServerRegistry::Instance().Create("cpprest");
 }
 
 ControlProgram::~ControlProgram() { runtime_->Stop(); }
@@ -124,7 +197,7 @@
 void ControlProgram::Start() {
   service_->Start();
   api_->Start();
-  keys_->Start();
+  if (keys_) keys_->Start();
   group_->Start();
   publisher_->Start();
   agreement_->Start();
@@ -138,6 +211,15 @@
           api_->Handle(request, std::move(reply));
         }
       });
+  if (membership_) membership_->Start();
+  if (repairer_) repairer_->Start();
+  if (orders_) {
+    orders_->Start();
+    order_server_->Listen(settings_.Address("orders"),
+                          [this](const AdminRequest& request, const AdminReply& reply) {
+                            order_interface_->Handle(request, reply);
+                          });
+  }
   events_.Emit({"process.started",
                 {{"streams", streams.ToString()}, {"admin", admin.ToString()}}});
 }
@@ -160,11 +242,17 @@
 void ControlProgram::Stop() {
   // Operators' requests under way are answered before leadership is handed over.
   admin_->Stop();
+  if (order_server_) order_server_->Stop();
   agreement_->Stop();
   publisher_->Stop();
   std::promise<void> stopped;
   control_executor_->Post([&] {
-    keys_->Stop();
+    if (keys_) keys_->Stop();
+    if (repairer_) repairer_->Stop();
+    if (membership_) {
+      membership_->Leave();
+      membership_->Stop();
+    }
     group_->Stop();
     service_->Stop();
     stopped.set_value();
--- a/src/control/control_program.h
+++ b/src/control/control_program.h
@@ -15,14 +15,19 @@
 #include "base/random.h"
 #include "base/settings.h"
 #include "control/control_group_keeper.h"
+#include "control/control_membership.h"
 #include "control/control_service.h"
+#include "control/group_repair.h"
 #include "control/intent_api.h"
 #include "control/intent_events.h"
 #include "control/intent_machine.h"
 #include "control/key_group_keeper.h"
+#include "control/order_interface.h"
+#include "control/order_service.h"
 #include "distribution/publisher.h"
 #include "kernel/runtime.h"
 #include "net/admin_server.h"
+#include "net/datagram.h"
 #include "net/stream.h"
 #include "net/stream_message_channels.h"
 #include "net/stream_router.h"
@@ -45,6 +50,8 @@
   void RunUntilStopped();
 
  private:
+  void MakeOrders(const PeerLookup& lookup);
+  void MakeMembership();
   void ShowMetrics(AdminReply reply);
   void Stop();
 
@@ -54,6 +61,7 @@
   IntentEvents events_;
   Random agreement_random_;
   Random publisher_random_;
+  Random membership_random_;
   std::promise<void> stop_signal_;
   StreamRouter router_;
   std::unique_ptr<Runtime> runtime_;
@@ -62,6 +70,7 @@
   std::unique_ptr<Executor> control_executor_;
   std::unique_ptr<Executor> rpc_executor_;
   std::unique_ptr<StreamTransport> transport_;
+  std::unique_ptr<DatagramSocket> datagrams_;
   std::unique_ptr<StreamRpcClient> rpc_client_;
   std::unique_ptr<StreamRpcServer> rpc_server_;
   std::unique_ptr<StreamMessageChannels> channels_;
@@ -75,6 +84,11 @@
   std::unique_ptr<IntentApi> api_;
   std::unique_ptr<MetricsFormat> metrics_;
   std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<ControlMembership> membership_;  ///< Null: not in the fleet's.
+  std::unique_ptr<GroupRepairer> repairer_;        ///< Null: operators repair the group.
+  std::unique_ptr<OrderService> orders_;
+  std::unique_ptr<OrderInterface> order_interface_;  ///< Null: no orders are taken.
+  std::unique_ptr<AdminServer> order_server_;
 };
 
 }  // namespace quetzal
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -22,6 +22,19 @@
        "Address at which other instances reach this one."},
       {"peers", K::kText, "name=address:port,...", "", 0, 0, false,
        "Stream addresses of all control instances; this one may stand among them."},
+      {"seeds", K::kEndpointList, "address:port", "", 0, 0, false,
+       "Addresses of control instances, in place of --peers: each one is named by its IP "
+       "number and reached at the ports of --streams and --gossip."},
+      {"gossip", K::kEndpoint, "address:port", "", 0, 0, false,
+       "Address for the membership of the fleet (UDP); empty: takes no part in it."},
+      {"repair-group", K::kFlag, "", "false", 0, 0, false,
+       "With --gossip: take new control instances in and those that are gone out."},
+      {"orders", K::kEndpoint, "address:port", "", 0, 0, false,
+       "Address for orders that are confirmed by being sent; empty: none are taken."},
+      {"order-interface", K::kText, "", "", 0, 0, false,
+       "Name of the plug-in that reads the orders."},
+      {"key-groups", K::kFlag, "", "true", 0, 0, false,
+       "Keep groups of holders of idempotency keys."},
       {"bootstrap", K::kFlag, "", "false", 0, 0, false,
        "Found a new group when every control instance has an empty folder."},
       {"data-folder", K::kFolder, "", "", 0, 0, true, "Folder of the durable log."},
@@ -44,6 +57,10 @@
   }
   try {
     *peers = ParsePeers(settings.Text("peers"), settings.Text("instance"));
+    for (const Endpoint& seed : settings.Addresses("seeds")) {
+      if (seed.address == settings.Text("instance")) continue;
+      (*peers)[seed.address] = {seed.address, settings.Address("streams").port};
+    }
   } catch (const Error& error) {
     wrong += std::string("peers: ") + error.what() + "\n";
   }
--- a/src/libquetzal/agreement/agreement_options.h
+++ b/src/libquetzal/agreement/agreement_options.h
@@ -36,7 +36,7 @@
   std::uint64_t append_window = 4096;           ///< Entries sent ahead of their reply.
   std::size_t chunk_bytes = 64 << 10;           ///< Snapshot bytes in one message.
   std::size_t snapshot_bytes_max = 64 << 20;
-  std::size_t entry_bytes_max = 1 << 20;
+  std::size_t entry_bytes_max = 3 << 20;
   std::size_t pending_max = 4096;  ///< Proposals waiting before kOverloaded.
 
   /// Allows an empty data folder to found a new group with all `peers`, once each of them
--- /dev/null
+++ b/src/libquetzal/base/clock.cc
@@ -0,0 +1,15 @@
+#include "base/clock.h"
+
+#include <ctime>
+
+namespace quetzal {
+
+// std::chrono::steady_clock stands still while the machine is suspended.
+SteadyTime SystemClock::Now() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return SteadyTime(std::chrono::seconds(now.tv_sec) +
+                    std::chrono::nanoseconds(now.tv_nsec));
+}
+
+}  // namespace quetzal
--- a/src/libquetzal/base/clock.h
+++ b/src/libquetzal/base/clock.h
@@ -21,10 +21,11 @@
   virtual WallTime WallNow() const = 0;
 };
 
-/// The clocks of the runtime.
+/// The clocks of the runtime. Now() counts the time that the machine was suspended, so
+/// that a lease does not outlive a suspension of its holder.
 class SystemClock final : public Clock {
  public:
-  SteadyTime Now() const override { return std::chrono::steady_clock::now(); }
+  SteadyTime Now() const override;
   WallTime WallNow() const override { return std::chrono::system_clock::now(); }
 };
 
--- a/src/libquetzal/base/settings.cc
+++ b/src/libquetzal/base/settings.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <charconv>
+#include <cmath>
 #include <sstream>
 #include <tuple>
 #include <utility>
@@ -23,6 +24,26 @@
   return ec == std::errc() && last == end && !text.empty();
 }
 
+/// Whole milliseconds, or seconds with fractions in front of an "s".
+bool ParseMillis(const std::string& text, std::int64_t* millis) {
+  if (text.empty() || text.back() != 's') return ParseInteger(text, millis);
+  double seconds = 0;
+  const char* end = text.data() + text.size() - 1;
+  const auto [last, ec] = std::from_chars(text.data(), end, seconds);
+  constexpr double kMaxSeconds = 1e9;
+  if (ec != std::errc() || last != end || !(seconds >= 0 && seconds <= kMaxSeconds)) {
+    return false;
+  }
+  *millis = std::llround(seconds * 1000);
+  return true;
+}
+
+bool ParseRatio(const std::string& text, double* ratio) {
+  const char* end = text.data() + text.size();
+  const auto [last, ec] = std::from_chars(text.data(), end, *ratio);
+  return ec == std::errc() && last == end && *ratio >= 0 && *ratio <= 1;
+}
+
 bool IsIpNumber(const std::string& text) {
   unsigned char buf[sizeof(in6_addr)];
   return inet_pton(AF_INET, text.c_str(), buf) == 1 ||
@@ -42,9 +63,15 @@
 std::string CheckValue(const SettingSpec& spec, const std::string& text) {
   if (text.empty()) return spec.required ? "is missing" : "";
   std::int64_t number = 0;
+  double ratio = 0;
   switch (spec.kind) {
-    case SettingKind::kInteger:
+    case SettingKind::kRatio:
+      return ParseRatio(text, &ratio) ? "" : "is not a number from 0 to 1";
     case SettingKind::kMillis:
+      if (!ParseMillis(text, &number)) return "is neither whole ms nor seconds";
+      if (number < spec.min || number > spec.max) return "is out of range";
+      return "";
+    case SettingKind::kInteger:
       if (!ParseInteger(text, &number)) return "is not a whole number";
       if (number < spec.min || number > spec.max) return "is out of range";
       return "";
@@ -115,7 +142,15 @@
 }
 
 std::chrono::milliseconds Settings::Millis(const std::string& name) const {
-  return std::chrono::milliseconds(Integer(name));
+  std::int64_t number = 0;
+  ParseMillis(Text(name), &number);
+  return std::chrono::milliseconds(number);
+}
+
+double Settings::Ratio(const std::string& name) const {
+  double ratio = 0;
+  ParseRatio(Text(name), &ratio);
+  return ratio;
 }
 
 Endpoint Settings::Address(const std::string& name) const {
@@ -151,6 +186,8 @@
 
 std::string DescribeAllowed(const SettingSpec& spec) {
   switch (spec.kind) {
+    case SettingKind::kRatio:
+      return "0 to 1";
     case SettingKind::kInteger:
     case SettingKind::kMillis: {
       std::string text = std::to_string(spec.min) + " to " + std::to_string(spec.max);
--- a/src/libquetzal/base/settings.h
+++ b/src/libquetzal/base/settings.h
@@ -19,7 +19,8 @@
   kEndpoint,
   kEndpointList,
   kFolder,
-  kFlag
+  kFlag,
+  kRatio
 };
 
 /// Description of one setting. The flag is `--name`; the environment variable is
@@ -55,6 +56,9 @@
   const std::string& Text(const std::string& name) const;
   std::int64_t Integer(const std::string& name) const;
   std::chrono::milliseconds Millis(const std::string& name) const;
+
+  /// A share from 0 to 1.
+  double Ratio(const std::string& name) const;
   Endpoint Address(const std::string& name) const;
   std::vector<Endpoint> Addresses(const std::string& name) const;
   bool Flag(const std::string& name) const;
--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -126,10 +126,13 @@
   return request.deadline > now && request.deadline - now >= wait + service_time_;
 }
 
+Duration AdmissionControl::RetryAfter(SteadyTime now) const {
+  return std::clamp(EstimateWait(queue_.size(), now), kMinRetryAfter, kMaxRetryAfter);
+}
+
 AdmissionVerdict AdmissionControl::Refuse(std::uint64_t id, ResultCode code,
                                           SteadyTime now) const {
-  const Duration wait = EstimateWait(queue_.size(), now);
-  return {id, code, std::clamp(wait, kMinRetryAfter, kMaxRetryAfter)};
+  return {id, code, RetryAfter(now)};
 }
 
 void AdmissionControl::Enqueue(const AdmissionRequest& request) {
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -59,6 +59,9 @@
   void Stop();
 
   LoadReport load(SteadyTime now) const;
+
+  /// When a request that is refused now would find a free slot.
+  Duration RetryAfter(SteadyTime now) const;
   std::uint32_t outstanding() const { return outstanding_; }
   std::size_t queued() const { return queue_.size(); }
 
--- a/src/libquetzal/calls/answer_relay.cc
+++ b/src/libquetzal/calls/answer_relay.cc
@@ -95,7 +95,7 @@
 
 void AnswerRelay::TellRefusal(const Refusal& refusal, bool close_connection) {
   if (told_) return;
-  RefusalAnswer answer = WriteRefusal(refusal, close_connection);
+  RefusalAnswer answer = dialect_->WriteRefusal(refusal, close_connection);
   Send(std::move(answer.headers), std::move(answer.body));
   caller_.reset();
 }
--- a/src/libquetzal/calls/answer_relay.h
+++ b/src/libquetzal/calls/answer_relay.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "calls/call_dialect.h"
 #include "calls/call_headers.h"
 #include "key_records.pb.h"
 #include "net/stream.h"
@@ -19,8 +20,9 @@
 /// is sent after an answer has begun but its own rest, or a cut.
 class AnswerRelay {
  public:
-  AnswerRelay(std::size_t hold_limit, std::shared_ptr<Stream> caller)
-      : hold_limit_(hold_limit), caller_(std::move(caller)) {}
+  AnswerRelay(std::size_t hold_limit, std::shared_ptr<Stream> caller,
+              const CallDialect* dialect)
+      : hold_limit_(hold_limit), caller_(std::move(caller)), dialect_(dialect) {}
 
   /// An attempt's answer begins. `keep` copies it for a later resend.
   void Begin(const StreamHeaders& headers, const std::string& method, bool keep);
@@ -78,6 +80,7 @@
 
   const std::size_t hold_limit_;
   std::shared_ptr<Stream> caller_;
+  const CallDialect* dialect_;
   StreamHeaders headers_;
   std::optional<std::uint64_t> length_;
   std::uint64_t received_ = 0;
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -14,11 +14,6 @@
 /// becomes known.
 constexpr Duration kOutcomeGrace = std::chrono::seconds(30);
 
-std::string Millis(Duration duration) {
-  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
-  return std::to_string(std::max<std::int64_t>(0, ms.count()));
-}
-
 }  // namespace
 
 class BackendCall::BackendHandler final : public StreamHandler {
@@ -69,6 +64,7 @@
     : context_(std::move(context)),
       head_(std::move(head)),
       fields_(std::move(fields)),
+      request_id_(context_->dialect().ReadCaller(fields_).request_id),
       deadline_(context_->Now() + head_.remaining),
       peer_(std::move(peer)) {}
 
@@ -113,7 +109,7 @@
   if (context_->backend_server().service != head_.service) {
     return {ResultCode::kNoBackendServer, true, {}};
   }
-  if (head_.idempotent) return {};
+  if (!keyed()) return {};
   // The key's record names one incarnation: another one could not tell later what became
   // of the attempt.
   if (head_.incarnation != context_->options.incarnation) {
@@ -143,7 +139,7 @@
   ++context_->admitted;
   phase_ = Phase::kSent;
   sent_at_ = context_->Now();
-  if (!head_.idempotent) {
+  if (keyed()) {
     context_->deps.events->Emit({"call.admitted",
                                  {{"key", std::string(HeaderValue(fields_, kKeyHeader))},
                                   {"attempt", head_.attempt_id}}});
@@ -167,15 +163,23 @@
 
 StreamHeaders BackendCall::BackendHeaders() const {
   StreamHeaders headers;
-  headers.reserve(fields_.size() + 6);
+  headers.reserve(fields_.size() + 8);
   headers.emplace_back(":method", head_.method);
   // A pooled connection that fails leaves it open whether the request was read.
-  if (!head_.idempotent) headers.emplace_back(kConnectionField, "fresh");
+  if (keyed()) headers.emplace_back(kConnectionField, "fresh");
+  const CallDialect& dialect = context_->dialect();
+  if (!dialect.echo_field().empty() && !request_id_.empty()) {
+    headers.emplace_back(kEchoField, dialect.echo_field() + "=" + request_id_);
+  }
   headers.emplace_back("host", head_.host);
   headers.insert(headers.end(), fields_.begin(), fields_.end());
-  headers.emplace_back(kDeadlineHeader, Millis(deadline_ - sent_at_));
-  headers.emplace_back(kHopsHeader, std::to_string(head_.hops));
-  if (!head_.via.empty()) headers.emplace_back(kViaHeader, head_.via);
+  ServerTerms terms;
+  terms.remaining = deadline_ - sent_at_;
+  terms.server_id = context_->backend_server().id;
+  terms.caller_service = head_.caller_service;
+  terms.hops = head_.hops;
+  terms.via = head_.via;
+  dialect.WriteServer(terms, &headers);
   return headers;
 }
 
@@ -211,7 +215,7 @@
     return Over();
   }
   // A keyed request that the server has whole runs anyway; its outcome is worth knowing.
-  if (!head_.idempotent && body_ended_) return ReturnBackendCredit();
+  if (keyed() && body_ended_) return ReturnBackendCredit();
   if (backend_) backend_->Reset();
   EndAttempt(AttemptState::kUnknown);
   ReleaseSlot(false);
@@ -219,7 +223,7 @@
 }
 
 void BackendCall::AnswerHeaders(const StreamHeaders& headers) {
-  if (phase_ != Phase::kSent) return;
+  if (phase_ != Phase::kSent || AnswerIsNone(headers)) return;
   phase_ = Phase::kAnswering;
   const std::string status(HeaderValue(headers, ":status"));
   if (!AnswerHasNoBody(head_.method, status)) {
@@ -227,7 +231,7 @@
   }
   answer_is_good_ = !IsServerError(status);
   StreamHeaders answer = EndToEndFields(headers);
-  if (!head_.idempotent) {
+  if (keyed()) {
     kept_.set_status(static_cast<std::uint32_t>(ParseNumber(status, 999).value_or(0)));
     for (const auto& [name, value] : answer) {
       auto* field = kept_.add_fields();
@@ -240,11 +244,31 @@
   if (!peer_gone_) peer_->SendHeaders(std::move(answer), false);
 }
 
+bool BackendCall::AnswerIsNone(const StreamHeaders& headers) {
+  const AnswerTerms terms = context_->dialect().ReadAnswer(headers);
+  const bool foreign =
+      terms.unproven || (!terms.request_id.empty() && terms.request_id != request_id_);
+  if (!terms.not_run && !foreign) return false;
+  reached_server_ = true;
+  EndAttempt(terms.not_run ? AttemptState::kNotRun : AttemptState::kUnknown);
+  ReleaseSlot(false);
+  // The connection is not kept: what follows on it is no answer to anything.
+  if (foreign) backend_->Reset();
+  if (foreign) {
+    Refuse(ResultCode::kAnswerCut, false, {});
+  } else if (terms.stale) {
+    Refuse(ResultCode::kStaleIncarnation, true, {});
+  } else {
+    Refuse(ResultCode::kServerFull, true, context_->gate.RetryAfter());
+  }
+  return true;
+}
+
 void BackendCall::AnswerData(std::string bytes) {
   if (phase_ != Phase::kAnswering) return;
   answer_received_ += bytes.size();
   owed_to_backend_ += bytes.size();
-  if (!head_.idempotent) KeepAnswer(bytes);
+  if (keyed()) KeepAnswer(bytes);
   if (!peer_gone_) peer_->SendData(std::move(bytes), false);
   ReturnBackendCredit();
 }
@@ -283,6 +307,7 @@
   const bool not_sent = code == ResultCode::kConnectFailed;
   EndAttempt(not_sent ? AttemptState::kNotRun : AttemptState::kUnknown);
   ReleaseSlot(false);
+  reached_server_ = !not_sent;
   if (not_sent) return Refuse(ResultCode::kConnectFailed, true, {});
   if (!answering) {
     return Refuse(head_.idempotent ? ResultCode::kAnswerCut : ResultCode::kOutcomeUnknown,
@@ -302,7 +327,8 @@
 void BackendCall::Refuse(ResultCode code, bool not_run, Duration retry_after) {
   EndAttempt(not_run ? AttemptState::kNotRun : AttemptState::kUnknown);
   if (!peer_gone_) {
-    peer_->SendHeaders(EncodeRefusal({code, not_run, retry_after}, context_->gate.load()),
+    peer_->SendHeaders(EncodeRefusal({code, not_run, retry_after, reached_server_},
+                                     context_->gate.load()),
                        true);
   }
   Over();
--- a/src/libquetzal/calls/backend_call.h
+++ b/src/libquetzal/calls/backend_call.h
@@ -40,6 +40,7 @@
   enum class Phase { kNew, kWaiting, kSent, kAnswering, kOver };
 
   void Start();
+  bool keyed() const { return !head_.attempt_id.empty(); }
   Refusal Check();
   void OnVerdict(const AdmissionVerdict& verdict);
   void Send();
@@ -58,6 +59,8 @@
   void KeepAnswer(const std::string& bytes);
 
   void OutcomeOverdue();
+  /// True when the answer that begins is none: it was refused, or is another request's.
+  bool AnswerIsNone(const StreamHeaders& headers);
   void Refuse(ResultCode code, bool not_run, Duration retry_after);
   void EndAttempt(AttemptState state);
   void ReleaseSlot(bool answered);
@@ -66,6 +69,7 @@
   const std::shared_ptr<CallContext> context_;
   const CallHead head_;
   const StreamHeaders fields_;
+  const std::string request_id_;  ///< As the caller states it; may be empty.
   const SteadyTime deadline_;
   SerialQueue queue_;
   std::shared_ptr<Stream> peer_;
@@ -75,6 +79,7 @@
   bool peer_gone_ = false;
   bool attempt_open_ = false;
   bool holds_slot_ = false;
+  bool reached_server_ = false;
   std::uint64_t admission_id_ = 0;
   SteadyTime sent_at_;
 
--- a/src/libquetzal/calls/backend_gate.cc
+++ b/src/libquetzal/calls/backend_gate.cc
@@ -53,6 +53,11 @@
   return control_.load(clock_->Now());
 }
 
+Duration BackendGate::RetryAfter() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return control_.RetryAfter(clock_->Now());
+}
+
 BackendGate::Decisions BackendGate::TakeLocked(
     const AdmissionControl::Verdicts& verdicts) {
   Decisions decisions;
--- a/src/libquetzal/calls/backend_gate.h
+++ b/src/libquetzal/calls/backend_gate.h
@@ -37,6 +37,9 @@
 
   LoadReport load() const;
 
+  /// When a request that is refused now would find a free slot.
+  Duration RetryAfter() const;
+
  private:
   using Decisions = std::vector<std::pair<Decided, AdmissionVerdict>>;
 
--- a/src/libquetzal/calls/call_context.cc
+++ b/src/libquetzal/calls/call_context.cc
@@ -3,12 +3,19 @@
 #include <algorithm>
 #include <utility>
 
+#include "calls/own_dialect.h"
+
 namespace quetzal {
 namespace {
 
 constexpr std::size_t kMaxAttempts = 20'000;
 constexpr std::size_t kMaxAttemptAnswerBytes = std::size_t{4} * 1024 * 1024;
 
+const CallDialect* DialectOr(const CallDialect* dialect) {
+  static const OwnDialect own;
+  return dialect == nullptr ? &own : dialect;
+}
+
 std::uint32_t LowerLimit(std::uint32_t announced, std::uint32_t configured) {
   if (configured == 0) return announced;
   return announced == 0 ? configured : std::min(announced, configured);
@@ -20,8 +27,10 @@
     : deps(dependencies),
       options(options),
       loads(dependencies.clock, dependencies.random),
+      budgets(options.retry_percent, options.shared_retry_burst),
       attempts(kMaxAttempts, kMaxAttemptAnswerBytes),
       gate(dependencies.clock),
+      dialect_(DialectOr(dependencies.dialect)),
       random_(dependencies.random->Next()) {}
 
 std::shared_ptr<const RouteMatcher> CallContext::matcher() {
@@ -37,6 +46,7 @@
     matcher_ = fresh;
   }
   loads.Prune(*snapshot);
+  budgets.SetNodes(snapshot->targets.size());
   ApplyLimits();
   return fresh;
 }
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -9,11 +9,12 @@
 
 #include "calls/attempt_table.h"
 #include "calls/backend_gate.h"
+#include "calls/call_dialect.h"
 #include "calls/call_path.h"
 #include "calls/drain_gate.h"
 #include "calls/load_table.h"
 #include "calls/local_stream.h"
-#include "calls/retry_budget.h"
+#include "calls/retry_budgets.h"
 #include "calls/route_matcher.h"
 
 namespace quetzal {
@@ -37,13 +38,15 @@
   const StreamAcceptor& admitting_side() const { return admitting_side_; }
   void set_admitting_side(StreamAcceptor side) { admitting_side_ = std::move(side); }
 
+  const CallDialect& dialect() const { return *dialect_; }
+
   SteadyTime Now() const { return deps.clock->Now(); }
   double RandomUnit();
 
   const CallDependencies deps;
   const CallOptions options;
   LoadTable loads;
-  RetryBudget budget;
+  RetryBudgets budgets;
   AttemptTable attempts;
   BackendGate gate;
   DrainGate drain;
@@ -60,6 +63,7 @@
   void ApplyLimits();
   AdmissionLimits CurrentLimits() const;
 
+  const CallDialect* const dialect_;
   StreamAcceptor admitting_side_;
   std::atomic<std::uint64_t> attempt_counter_{0};
   std::atomic<std::uint64_t> limits_changes_{0};
--- a/src/libquetzal/calls/call_headers.cc
+++ b/src/libquetzal/calls/call_headers.cc
@@ -17,6 +17,7 @@
 constexpr char kIncarnationField[] = "x-qz-incarnation";
 constexpr char kIdempotentField[] = "x-qz-idempotent";
 constexpr char kPriorityField[] = "x-qz-priority";
+constexpr char kCallerServiceField[] = "x-qz-caller-service";
 constexpr char kRemainingField[] = "x-qz-remaining-ns";
 constexpr char kHopsField[] = "x-qz-hops";
 constexpr char kViaField[] = "x-qz-via";
@@ -101,7 +102,7 @@
 
 StreamHeaders EncodeCall(const CallHead& head, const StreamHeaders& fields) {
   StreamHeaders headers;
-  headers.reserve(fields.size() + 14);
+  headers.reserve(fields.size() + 15);
   headers.emplace_back(":method", "POST");
   headers.emplace_back(kMethodField, head.method);
   headers.emplace_back(kPathField, head.path);
@@ -112,6 +113,9 @@
   headers.emplace_back(kRemainingField, std::to_string(head.remaining.count()));
   headers.emplace_back(kHopsField, std::to_string(head.hops));
   headers.emplace_back(kViaField, head.via);
+  if (!head.caller_service.empty()) {
+    headers.emplace_back(kCallerServiceField, head.caller_service);
+  }
   if (!head.attempt_id.empty()) {
     headers.emplace_back(kAttemptField, head.attempt_id);
     headers.emplace_back(kIncarnationField, std::to_string(head.incarnation));
@@ -127,6 +131,7 @@
   head.host = HeaderValue(headers, kHostField);
   head.service = HeaderValue(headers, kServiceField);
   head.via = HeaderValue(headers, kViaField);
+  head.caller_service = HeaderValue(headers, kCallerServiceField);
   head.attempt_id = HeaderValue(headers, kAttemptField);
   head.idempotent = HeaderValue(headers, kIdempotentField) == "1";
   const auto priority = ParseNumber(HeaderValue(headers, kPriorityField), kMaxCount);
@@ -136,10 +141,10 @@
   if (head.method.empty() || head.path.empty() || !priority || !remaining || !hops) {
     return std::nullopt;
   }
-  if (!head.idempotent) {
+  if (!head.attempt_id.empty()) {
     const auto incarnation =
         ParseNumber(HeaderValue(headers, kIncarnationField), UINT64_MAX);
-    if (!incarnation || head.attempt_id.empty()) return std::nullopt;
+    if (!incarnation) return std::nullopt;
     head.incarnation = *incarnation;
   }
   head.priority = static_cast<std::uint32_t>(*priority);
@@ -179,7 +184,8 @@
   headers.emplace_back(":status", "200");
   headers.emplace_back(kRefusalField, std::to_string(static_cast<int>(refusal.code)) +
                                           (refusal.not_run ? ";1;" : ";0;") +
-                                          std::to_string(retry.count()));
+                                          std::to_string(retry.count()) +
+                                          (refusal.reached_server ? ";1" : ";0"));
   AddLoad(load, &headers);
   return headers;
 }
@@ -188,7 +194,7 @@
   const auto text = HeaderValue(headers, kRefusalField);
   if (text.empty()) return std::nullopt;
   Refusal refusal;
-  const auto numbers = ParseList<3>(text);
+  const auto numbers = ParseList<4>(text);
   if (!numbers) {
     refusal.code = ResultCode::kMessageMalformed;
     return refusal;
@@ -197,6 +203,7 @@
   refusal.not_run = (*numbers)[1] == 1;
   refusal.retry_after =
       std::chrono::milliseconds(static_cast<std::int64_t>((*numbers)[2]));
+  refusal.reached_server = (*numbers)[3] == 1;
   return refusal;
 }
 
--- a/src/libquetzal/calls/call_headers.h
+++ b/src/libquetzal/calls/call_headers.h
@@ -21,17 +21,22 @@
 /// Field of an opened backend stream: "fresh" asks for a connection of its own.
 inline constexpr char kConnectionField[] = ":connection";
 
+/// Field of an opened backend stream, "NAME=VALUE": an answer whose field NAME has
+/// another value belongs to an earlier request and is skipped.
+inline constexpr char kEchoField[] = ":echo";
+
 /// What a node tells the admitting node beside the caller's own header fields.
 struct CallHead {
   std::string method;
   std::string path;
   std::string host;
   std::string service;
-  std::string attempt_id;         ///< Empty for idempotent requests.
+  std::string attempt_id;         ///< Empty for requests without a key.
   std::uint64_t incarnation = 0;  ///< Of the admitting node; counts with an attempt id.
   bool idempotent = true;
   std::uint32_t priority = 0;
-  Duration remaining{};  ///< Until the deadline.
+  Duration remaining{};        ///< Until the deadline.
+  std::string caller_service;  ///< Of the instance at which the request began.
   int hops = 0;
   std::string via;
 };
@@ -49,6 +54,7 @@
   ResultCode code = ResultCode::kOk;
   bool not_run = false;  ///< The request did not run and will not run.
   Duration retry_after{};
+  bool reached_server = false;  ///< A backend server has seen the request.
 };
 
 /// `fields` without hop-by-hop fields, pseudo fields and fields that only instances set.
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -18,6 +18,7 @@
 
 namespace quetzal {
 
+class CallDialect;
 class KeyRecords;
 
 /// Stream path of requests between instances.
@@ -37,6 +38,12 @@
   std::size_t answer_bytes =
       std::size_t{16} * 1024;  ///< Answer kept for a resend, for each key.
   Duration key_wait = std::chrono::seconds(2);  ///< Wait for a running request of a key.
+  std::string service;  ///< Of the own backend server, as the settings state it.
+
+  /// Retries of all nodes together, for each service, beyond a share of its requests; 0:
+  /// the budget of the configuration's policy alone counts.
+  std::uint32_t shared_retry_burst = 0;
+  std::uint32_t retry_percent = 0;  ///< With a shared burst: share of the requests.
 };
 
 /// What a CallPath works with; all of it outlives the CallPath.
@@ -46,7 +53,8 @@
   StreamTransport* backends = nullptr;  ///< HTTP/1.1 to the own backend server.
   RpcClient* rpc_client = nullptr;
   RpcServer* rpc_server = nullptr;
-  KeyRecords* keys = nullptr;  ///< Null: non-idempotent requests are refused.
+  const CallDialect* dialect = nullptr;  ///< Null: kOwnDialect.
+  KeyRecords* keys = nullptr;            ///< Null: non-idempotent requests are refused.
   Executor* executor = nullptr;
   const Clock* clock = nullptr;
   Random* random = nullptr;  ///< Used by the CallPath alone.
@@ -60,6 +68,7 @@
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
   ServerState state = SERVER_NONE;
+  std::string id;  ///< Of its incarnation; empty when it announces none.
 };
 
 /// Counts since the start, for the metrics of a node.
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -8,6 +8,7 @@
 
 #include "calls/answer_relay.h"
 #include "calls/call_context.h"
+#include "calls/call_dialect.h"
 #include "calls/call_headers.h"
 #include "calls/key_guard.h"
 #include "calls/request_body.h"
@@ -61,6 +62,7 @@
   CallHead MakeHead() const;
   void EndAttempt(AttemptEnd end);
   bool MayRetry(bool is_paid);
+  bool IsPaid(const Refusal& refusal) const;
   void RetryOrRefuse(const Refusal& refusal);
 
   // The attempt's stream.
@@ -88,6 +90,8 @@
   /// Logs how a keyed request ended, and whether its caller still hears it.
   void EmitOutcome(ResultCode code) const;
   void EmitKeyed(const char* name, ResultCode code) const;
+  /// Logs why a request with an id of its caller got no answer of a backend server.
+  void EmitRefused(const Refusal& refusal) const;
 
   const std::shared_ptr<CallContext> context_;
   const std::string path_;
@@ -97,7 +101,7 @@
   const StreamHeaders fields_;
   std::string via_;
   int hops_ = 0;
-  Duration caller_remaining_{};
+  const CallerTerms terms_;
 
   SerialQueue queue_;
   std::shared_ptr<Stream> caller_;
@@ -115,6 +119,7 @@
   const BackendTarget* target_ = nullptr;  ///< Of the attempt on its way.
   std::shared_ptr<Stream> attempt_;
   int attempts_ = 0;
+  std::uint32_t servers_reached_ = 0;  ///< Backend servers that have seen the request.
   std::vector<std::string> tried_;
   Refusal last_refusal_;
   std::shared_ptr<KeyGuard> guard_;  ///< Of a non-idempotent request.
--- /dev/null
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -0,0 +1,275 @@
+// The part of CallerCall that tries backend servers one after another.
+#include <algorithm>
+#include <utility>
+
+#include "calls/caller_call.h"
+#include "calls/local_stream.h"
+
+namespace quetzal {
+namespace {
+
+constexpr int kMaxAttempts = 4;
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+
+/// Redirects that say nothing about load; they are not paid from the retry budget.
+bool IsRedirect(ResultCode code) {
+  return code == ResultCode::kServerLeaving || code == ResultCode::kNodeStopping ||
+         code == ResultCode::kNodeStarting || code == ResultCode::kNoBackendServer ||
+         code == ResultCode::kStaleIncarnation;
+}
+
+}  // namespace
+
+class CallerCall::AttemptHandler final : public StreamHandler {
+ public:
+  AttemptHandler(std::shared_ptr<CallerCall> call, int number)
+      : call_(std::move(call)), number_(number) {}
+
+  void OnHeaders(StreamHeaders headers) override {
+    Run([headers = std::move(headers)](CallerCall* call) {
+      call->AnswerHeaders(headers);
+    });
+  }
+  void OnData(std::string_view bytes) override {
+    Run([bytes = std::string(bytes)](CallerCall* call) { call->AnswerData(bytes); });
+  }
+  void OnEnd() override {
+    Run([](CallerCall* call) { call->AnswerEnd(); });
+  }
+  void OnReset(ResultCode code) override {
+    Run([code](CallerCall* call) { call->AttemptLost(code); });
+  }
+  void OnWritable() override {
+    Run([](CallerCall* call) { call->body_.ReturnCredit(call->attempt_.get()); });
+  }
+
+ private:
+  /// Whatever comes late, from an attempt that was given up, reaches nobody.
+  template <class Function>
+  void Run(Function function) {
+    call_->queue_.Run([call = call_, number = number_, function = std::move(function)] {
+      if (call->target_ != nullptr && call->attempts_ == number) function(call.get());
+    });
+  }
+
+  const std::shared_ptr<CallerCall> call_;
+  const int number_;
+};
+
+void CallerCall::NextAttempt() {
+  if (deadline_passed_ || caller_gone_) return StopWaiting();
+  target_ = ChooseTarget();
+  if (target_ == nullptr) {
+    const bool told_why = last_refusal_.code != ResultCode::kOk;
+    return Refuse(told_why ? last_refusal_
+                           : Refusal{ResultCode::kNoBackendServer, true, kRetryAfter});
+  }
+  if (attempts_ > 0) ++context_->retried;
+  ++attempts_;
+  tried_.push_back(target_->instance);
+  if (!guard_) return OpenAttempt();
+  phase_ = Phase::kClaim;
+  guard_->Claim(*target_);
+}
+
+void CallerCall::RefreshRoute() {
+  // The newest snapshot, since the last choice may have met a server that left.
+  auto latest = context_->matcher();
+  if (latest && latest != matcher_) {
+    const Route* route = latest->Match(host_, path_, method_);
+    if (route != nullptr && route->idempotent() == route_->idempotent() &&
+        route->keyless() == route_->keyless()) {
+      matcher_ = std::move(latest);
+      route_ = route;
+    }
+  }
+}
+
+bool CallerCall::HasUntriedInstance() {
+  RefreshRoute();
+  const auto& targets = matcher_->Targets(service_);
+  return std::any_of(targets.begin(), targets.end(), [this](const BackendTarget* target) {
+    return target->state == SERVER_UP &&
+           std::find(tried_.begin(), tried_.end(), target->instance) == tried_.end();
+  });
+}
+
+const BackendTarget* CallerCall::ChooseTarget() {
+  RefreshRoute();
+  const Configuration& configuration = *matcher_->snapshot().configuration;
+  const Service* service = matcher_->FindService(service_);
+  ChoiceOptions options;
+  options.data_centre = context_->options.data_centre;
+  options.load_policy = configuration.policy().load_policy();
+  options.tried = tried_;
+  if (service != nullptr) {
+    options.slow_start = std::chrono::milliseconds(service->slow_start_ms());
+  }
+  return context_->loads.Choose(matcher_->Targets(service_), options);
+}
+
+void CallerCall::OpenAttempt() {
+  phase_ = Phase::kAttempt;
+  const StreamHeaders headers = EncodeCall(MakeHead(), fields_);
+  const bool whole = body_.ended() && body_.empty();
+  auto handler = std::make_shared<AttemptHandler>(shared_from_this(), attempts_);
+  attempt_ = target_->instance == context_->options.instance
+                 ? context_->local_streams.Open(context_->admitting_side(),
+                                                kCallStreamPath, headers, whole, handler)
+                 : context_->deps.peers->Open(target_->stream_address, kCallStreamPath,
+                                              headers, whole, handler);
+  body_.SendKept(attempt_.get());
+}
+
+CallHead CallerCall::MakeHead() const {
+  CallHead head;
+  head.method = method_;
+  head.path = path_;
+  head.host = host_;
+  head.service = service_;
+  head.idempotent = route_->idempotent();
+  head.caller_service = context_->options.service;
+  head.priority = route_->priority();
+  head.remaining = std::max(Duration::zero(), deadline_ - context_->Now());
+  head.hops = hops_;
+  head.via = via_;
+  if (guard_) {
+    head.attempt_id = guard_->attempt_id();
+    head.incarnation = target_->incarnation;
+  }
+  return head;
+}
+
+void CallerCall::EndAttempt(AttemptEnd end) {
+  if (target_ == nullptr) return;
+  context_->loads.End(*target_, end);
+  target_ = nullptr;
+  attempt_.reset();
+}
+
+bool CallerCall::MayRetry(bool is_paid) {
+  if (!body_.replayable() || attempts_ >= kMaxAttempts || answer_.told()) return false;
+  if (route_->attempts() > 0 && servers_reached_ >= route_->attempts()) return false;
+  return !is_paid || (HasUntriedInstance() && context_->budgets.Spend(service_));
+}
+
+/// The first arrival at a backend server is free; where routes limit the servers of a
+/// request, refusals of nodes are no arrivals.
+bool CallerCall::IsPaid(const Refusal& refusal) const {
+  if (route_->attempts() > 0) return servers_reached_ > 0;
+  return !IsRedirect(refusal.code);
+}
+
+void CallerCall::RetryOrRefuse(const Refusal& refusal) {
+  // A refused retry does not undo an earlier attempt that may have run.
+  const bool may_have_run =
+      last_refusal_.code != ResultCode::kOk && !last_refusal_.not_run;
+  if (!may_have_run || !refusal.not_run) last_refusal_ = refusal;
+  if (refusal.reached_server) ++servers_reached_;
+  const bool may_repeat = last_refusal_.not_run || route_->idempotent();
+  if (may_repeat && MayRetry(IsPaid(refusal))) return NextAttempt();
+  Refuse(last_refusal_);
+}
+
+void CallerCall::AnswerHeaders(const StreamHeaders& headers) {
+  if (const auto load = DecodeLoad(headers)) context_->loads.Report(*target_, *load);
+  if (const auto refusal = DecodeRefusal(headers)) return AttemptRefused(*refusal);
+  phase_ = Phase::kAnswer;
+  answer_.Begin(headers, method_, guard_ != nullptr);
+}
+
+void CallerCall::AnswerData(std::string bytes) {
+  if (phase_ == Phase::kAnswer) answer_.Append(std::move(bytes), attempt_.get());
+}
+
+void CallerCall::AnswerEnd() {
+  if (phase_ != Phase::kAnswer) return;
+  auto attempt = attempt_;
+  if (!answer_.whole()) {
+    attempt->Reset();
+    return AttemptLost(ResultCode::kAnswerCut);
+  }
+  if (!body_.ended()) attempt->Reset();
+  EndAttempt(answer_.server_error() ? AttemptEnd::kFailed : AttemptEnd::kAnswered);
+  ++servers_reached_;
+  if (!guard_ && route_->idempotent() && answer_.unavailable() && MayRetry(true)) {
+    // Kept for the caller in case that no other instance answers.
+    answer_.Park();
+    return NextAttempt();
+  }
+  answer_.End();
+  ++context_->answered;
+  if (!guard_) return Over();
+  EmitOutcome(ResultCode::kOk);
+  phase_ = Phase::kRecord;
+  guard_->ResolveDone(answer_.kept(), [this] { Over(); });
+}
+
+void CallerCall::AttemptRefused(const Refusal& refusal) {
+  if (!body_.ended()) attempt_->Reset();
+  const bool failed = !refusal.not_run || refusal.code == ResultCode::kConnectFailed;
+  EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kRefused);
+  if (!guard_) return RetryOrRefuse(refusal);
+  last_refusal_ = refusal;
+  phase_ = Phase::kOutcome;
+  if (refusal.not_run) return guard_->ResolveNotRun();
+  guard_->FindOutcome();
+}
+
+void CallerCall::AttemptLost(ResultCode code) {
+  EndAttempt(AttemptEnd::kFailed);
+  const bool not_sent = code == ResultCode::kConnectFailed;
+  last_refusal_ = {not_sent ? code : ResultCode::kAnswerCut, not_sent, kRetryAfter,
+                   !not_sent};
+  if (guard_) {
+    if (answer_.told()) answer_.Cut();
+    answer_.Discard();
+    phase_ = Phase::kOutcome;
+    return not_sent ? guard_->ResolveNotRun() : guard_->FindOutcome();
+  }
+  if (answer_.told()) {
+    answer_.Cut();
+    return Over();
+  }
+  answer_.Discard();
+  RetryOrRefuse(last_refusal_);
+}
+
+void CallerCall::OnClaimed() {
+  if (!deadline_passed_ && !caller_gone_) return OpenAttempt();
+  // Nothing was sent, and nothing will be.
+  EndAttempt(AttemptEnd::kAbandoned);
+  phase_ = Phase::kOutcome;
+  guard_->ResolveNotRun();
+}
+
+void CallerCall::OnFree() {
+  EndAttempt(AttemptEnd::kAbandoned);
+  if (last_refusal_.code != ResultCode::kOk) {
+    // A lost attempt has been proven not to have run.
+    if (!last_refusal_.not_run) {
+      last_refusal_ = {ResultCode::kConnectFailed, true, kRetryAfter};
+    }
+    return RetryOrRefuse(last_refusal_);
+  }
+  // The attempt that did not run was another coordinator's.
+  tried_.clear();
+  if (attempts_ >= kMaxAttempts) {
+    return Refuse({ResultCode::kKeyInProgress, false, kRetryAfter});
+  }
+  NextAttempt();
+}
+
+void CallerCall::OnReplay(const KeyAnswer& answer) {
+  EndAttempt(AttemptEnd::kAbandoned);
+  answer_.TellReplay(answer);
+  EmitOutcome(ResultCode::kOk);
+  Over();
+}
+
+void CallerCall::OnKeyRefused(const Refusal& refusal) {
+  EndAttempt(AttemptEnd::kAbandoned);
+  Refuse(refusal);
+}
+
+}  // namespace quetzal
--- /dev/null
+++ b/src/libquetzal/calls/own_dialect.h
@@ -0,0 +1,23 @@
+#ifndef QUETZAL_CALLS_OWN_DIALECT_H_
+#define QUETZAL_CALLS_OWN_DIALECT_H_
+
+#include <string>
+
+#include "calls/call_dialect.h"
+
+namespace quetzal {
+
+/// The dialect of docs/calls.md: X-Quetzal-Deadline-Ms, X-Quetzal-Result and so on.
+class OwnDialect final : public CallDialect {
+ public:
+  CallerTerms ReadCaller(const StreamHeaders& headers) const override;
+  void WriteServer(const ServerTerms& terms, StreamHeaders* headers) const override;
+  std::string echo_field() const override { return ""; }
+  AnswerTerms ReadAnswer(const StreamHeaders& headers) const override;
+  RefusalAnswer WriteRefusal(const Refusal& refusal,
+                             bool close_connection) const override;
+};
+
+}  // namespace quetzal
+
+#endif  // QUETZAL_CALLS_OWN_DIALECT_H_
--- /dev/null
+++ b/src/libquetzal/calls/retry_budgets.cc
@@ -0,0 +1,51 @@
+#include "calls/retry_budgets.h"
+
+namespace quetzal {
+namespace {
+
+constexpr std::uint64_t kRetry = 100;  // Hundredths of a retry.
+
+/// Retries saved up at most, and at the start, by a node with a burst of its own.
+constexpr std::uint64_t kOwnMost = 100 * kRetry;
+constexpr std::uint64_t kOwnStart = 10 * kRetry;
+
+/// Part of the shared burst that is handed out. Repeated runs make calls of their own,
+/// which count as repeats at the services that they call.
+constexpr std::uint64_t kBurstPartPercent = 50;
+
+}  // namespace
+
+RetryBudgets::RetryBudgets(std::uint32_t percent, std::uint32_t shared_burst)
+    : percent_(percent), shared_burst_(shared_burst) {}
+
+void RetryBudgets::SetNodes(std::size_t nodes) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  nodes_ = std::max<std::size_t>(1, nodes);
+}
+
+void RetryBudgets::Earn(const std::string& service, std::uint32_t percent) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::uint64_t& tokens = TokensLocked(service);
+  tokens = std::min(MostLocked(), tokens + (shared_burst_ > 0 ? percent_ : percent));
+}
+
+bool RetryBudgets::Spend(const std::string& service) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::uint64_t& tokens = TokensLocked(service);
+  if (tokens < kRetry) return false;
+  tokens -= kRetry;
+  return true;
+}
+
+std::uint64_t RetryBudgets::MostLocked() const {
+  if (shared_burst_ == 0) return kOwnMost;
+  return std::max(kRetry, shared_burst_ * kBurstPartPercent / nodes_);
+}
+
+std::uint64_t& RetryBudgets::TokensLocked(const std::string& service) {
+  const auto [it, added] = hundredths_.try_emplace(service, 0);
+  if (added) it->second = shared_burst_ > 0 ? MostLocked() : kOwnStart;
+  return it->second;
+}
+
+}  // namespace quetzal
--- a/src/libquetzal/calls/route_matcher.cc
+++ b/src/libquetzal/calls/route_matcher.cc
@@ -83,7 +83,9 @@
   std::uint64_t available = 0;
   for (const Target& target : route.targets()) {
     total += target.weight();
-    if (HasAvailableInstance(target.service())) available += target.weight();
+    if (route.fixed_shares() || HasAvailableInstance(target.service())) {
+      available += target.weight();
+    }
   }
   if (total == 0) return {};
   const std::uint64_t sum = available > 0 ? available : total;
@@ -91,7 +93,9 @@
   std::string_view last;
   for (const Target& target : route.targets()) {
     if (target.weight() == 0) continue;
-    if (available > 0 && !HasAvailableInstance(target.service())) continue;
+    const bool eligible =
+        available == 0 || route.fixed_shares() || HasAvailableInstance(target.service());
+    if (!eligible) continue;
     if (left < target.weight()) return target.service();
     left -= target.weight();
     last = target.service();
--- a/src/libquetzal/configuration/configuration_check.cc
+++ b/src/libquetzal/configuration/configuration_check.cc
@@ -115,7 +115,9 @@
                kMaxWeight);
     sum += target.weight();
   }
-  if (sum == 0) Refuse(what + "no target has a weight above 0");
+  if (sum == 0 && !route.fixed_shares()) {
+    Refuse(what + "no target has a weight above 0");
+  }
 }
 
 void CheckRoute(const Route& route, const std::set<std::string>& services) {
@@ -124,6 +126,7 @@
   CheckTargets(what, route, services);
   CheckRange(what + "timeout_ms", route.timeout_ms(), 1, kMaxRouteTimeoutMs);
   CheckRange(what + "priority", route.priority(), 0, kMaxPriority);
+  CheckRange(what + "attempts", route.attempts(), 0, kMaxRouteAttempts);
 }
 
 // Two routes that match the same requests would leave the choice to the order of a list.
--- a/src/libquetzal/configuration/configuration_limits.h
+++ b/src/libquetzal/configuration/configuration_limits.h
@@ -9,7 +9,7 @@
 // Limits of a configuration. docs/intents.md lists them for operators.
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::size_t kMaxServices = 256;
-constexpr std::size_t kMaxRoutes = 1024;
+constexpr std::size_t kMaxRoutes = 16'384;
 constexpr std::size_t kMaxTargetsOfRoute = 16;
 constexpr std::size_t kMaxMethodsOfRoute = 16;
 constexpr std::size_t kMaxMethodLength = 16;
@@ -22,6 +22,7 @@
 constexpr std::uint32_t kMaxWeight = 10'000;
 constexpr std::uint32_t kMaxRouteTimeoutMs = 600'000;
 constexpr std::uint32_t kMaxPriority = 9;
+constexpr std::uint32_t kMaxRouteAttempts = 100;
 constexpr std::uint32_t kMaxSlots = 10'000;
 constexpr std::uint32_t kMaxConnections = 100'000;
 constexpr std::uint32_t kMaxQueue = 10'000;
--- a/src/libquetzal/control/intent_machine.cc
+++ b/src/libquetzal/control/intent_machine.cc
@@ -84,6 +84,8 @@
       return ChangeBySystem(at, entry);
     case ControlEntry::kOutcome:
       return EndGroupChange(at, entry);
+    case ControlEntry::kReplace:
+      return Replace(at, entry);
     case ControlEntry::KIND_NOT_SET:
       break;
   }
@@ -159,6 +161,12 @@
     ForgetLocked();
     return result;
   }
+  if (order_number_ > 0) {
+    Close(INTENT_NOT_RUN, ResultCode::kNotRun,
+          "Not run: this configuration is replaced as a whole by its operators.", micros,
+          record);
+    return Answer(*record);
+  }
   Plan plan;
   try {
     plan = MakePlan(*configuration_, record->content());
@@ -324,6 +332,11 @@
   state.set_forgotten(forgotten_);
   for (const auto& [key, record] : records_) *state.add_intents() = record;
   for (const HistoryItem& item : history_) *state.add_history() = item;
+  state.set_order_number(order_number_);
+  state.set_document(document_);
+  for (const AcceptedOrder& order : accepted_orders_) {
+    *state.add_accepted_orders() = order;
+  }
   return state.SerializeAsString();
 }
 
@@ -347,6 +360,10 @@
       records_[{ParseIntentId(record.id()).number, record.id()}] = record;
     }
     history_.assign(state.history().begin(), state.history().end());
+    order_number_ = state.order_number();
+    document_ = state.document();
+    accepted_orders_.assign(state.accepted_orders().begin(),
+                            state.accepted_orders().end());
   }
   if (state.version().index() > 0 && listener_) {
     listener_(state.version(), std::move(configuration));
--- a/src/libquetzal/control/intent_machine.h
+++ b/src/libquetzal/control/intent_machine.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,7 +23,8 @@
   std::size_t closed_intents = 1000;  ///< Then the one with the smallest number goes.
   std::size_t open_plans = 32;  ///< Then the one with the smallest number is closed.
   std::size_t history_items = 1000;
-  std::size_t sentence_bytes = 8192;  ///< Of a plan, and again of its warnings.
+  std::size_t sentence_bytes = 8192;   ///< Of a plan, and again of its warnings.
+  std::size_t accepted_orders = 4096;  ///< Recognized when they are sent again.
 };
 
 /// Intents, plans, confirmations and the confirmed configuration, replicated by the log.
@@ -61,6 +63,10 @@
   /// change or is no longer kept.
   std::string IntentConfirmedAs(const Version& version) const;
 
+  /// The document of the configuration in force; nothing when it was not replaced as a
+  /// whole.
+  std::optional<std::string> document() const;
+
   Version version() const;
   std::shared_ptr<const Configuration> configuration() const;
 
@@ -76,6 +82,11 @@
   ControlResult Cancel(const ControlEntry& entry);
   ControlResult ChangeBySystem(const Version& at, const ControlEntry& entry);
 
+  // Configurations that are replaced as a whole (intent_machine_order.cc).
+  ControlResult Replace(const Version& at, const ControlEntry& entry);
+  bool IsAcceptedLocked(const ReplaceConfiguration& order) const;
+  void AcceptLocked(const ReplaceConfiguration& order);
+
   // Changes of the control instances (intent_machine_group.cc).
   IntentRecord* GroupChangeLocked();
   void CheckNoGroupChangeLocked(const ControlInstanceChange& change);
@@ -101,6 +112,9 @@
   Version operator_version_;
   std::uint64_t declared_ = 0;
   std::uint64_t forgotten_ = 0;
+  std::uint64_t order_number_ = 0;
+  std::string document_;
+  std::deque<AcceptedOrder> accepted_orders_;
   std::map<Key, IntentRecord> records_;
   std::vector<HistoryItem> history_;
 };
--- /dev/null
+++ b/src/libquetzal/control/order_service.cc
@@ -0,0 +1,156 @@
+#include "control/order_service.h"
+
+#include <utility>
+
+#include <xxhash.h>
+
+#include "base/result_code.h"
+#include "control/intent_record.h"
+
+namespace quetzal {
+namespace {
+
+constexpr char kOrderMethod[] = "/control/order";
+
+/// Operators turn to another control instance after a second without an answer.
+constexpr Duration kForwardTimeout = std::chrono::milliseconds(900);
+
+/// From an instance outside the group to a member, and from there to the leader.
+constexpr std::uint32_t kMaxHops = 2;
+
+std::string DigestOf(const std::string& document) {
+  const XXH128_hash_t hash = XXH3_128bits(document.data(), document.size());
+  XXH128_canonical_t canonical;
+  XXH128_canonicalFromHash(&canonical, hash);
+  return {std::begin(canonical.digest), std::end(canonical.digest)};
+}
+
+OrderAnswer MakeAnswer(ResultCode code, std::string message) {
+  OrderAnswer answer;
+  answer.set_code(static_cast<int>(code));
+  answer.set_message(std::move(message));
+  return answer;
+}
+
+}  // namespace
+
+OrderService::OrderService(const Dependencies& dependencies, PeerSource peers)
+    : dependencies_(dependencies), peers_(std::move(peers)) {}
+
+void OrderService::Start() {
+  dependencies_.rpc_server->Serve(
+      kOrderMethod, [this](const std::string& bytes, const RpcReply& reply) {
+        ForwardedOrder order;
+        if (!order.ParseFromString(bytes)) {
+          return reply(ResultCode::kMessageMalformed, "");
+        }
+        dependencies_.executor->Post([this, order = std::move(order), reply] {
+          Take(order, [reply](const OrderAnswer& answer) {
+            reply(ResultCode::kOk, answer.SerializeAsString());
+          });
+        });
+      });
+}
+
+void OrderService::Replace(const ConfigurationOrder& order, ReplaceDone done) {
+  ForwardedOrder message;
+  ReplaceConfiguration* replace = message.mutable_replace();
+  replace->set_number(order.number);
+  replace->set_base(order.base);
+  replace->set_digest(DigestOf(order.document));
+  replace->set_document(order.document);
+  *replace->mutable_configuration() = order.configuration;
+  dependencies_.executor->Post(
+      [this, message = std::move(message), done = std::move(done)] {
+        Take(message, [this, number = message.replace().number(),
+                       base = message.replace().base(), done](const OrderAnswer& answer) {
+          const ResultCode code = ResultCodeFromInt(answer.code());
+          dependencies_.events->Emit({"order.answered",
+                                      {{"number", std::to_string(number)},
+                                       {"base", std::to_string(base)},
+                                       {"code", std::string(InfoOf(code).name)},
+                                       {"reason", answer.message()}}});
+          done(code, answer.message());
+        });
+      });
+}
+
+void OrderService::Read(ReadDone done) {
+  dependencies_.executor->Post([this, done = std::move(done)] {
+    Take(ForwardedOrder(), [done](const OrderAnswer& answer) {
+      done(ResultCodeFromInt(answer.code()), answer.document());
+    });
+  });
+}
+
+void OrderService::Take(const ForwardedOrder& order, const Done& done) {
+  if (order.has_replace()) return Propose(order, done);
+  ReadHere(order, done);
+}
+
+void OrderService::Propose(const ForwardedOrder& order, const Done& done) {
+  ControlEntry entry;
+  entry.set_wall_micros(
+      static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                     dependencies_.clock->WallNow().time_since_epoch())
+                                     .count()));
+  *entry.mutable_replace() = order.replace();
+  dependencies_.agreement->Propose(
+      entry.SerializeAsString(),
+      [this, order, done](ResultCode code, LogPosition, const std::string& result) {
+        dependencies_.executor->Post(
+            [this, order, code, result, done] { OnProposed(order, code, result, done); });
+      });
+}
+
+void OrderService::OnProposed(const ForwardedOrder& order, ResultCode code,
+                              const std::string& bytes, const Done& done) {
+  if (code == ResultCode::kNotLeader) return SendOn(order, done);
+  if (code != ResultCode::kOk) {
+    return done(MakeAnswer(code, std::string(InfoOf(code).meaning)));
+  }
+  ControlResult result;
+  if (!result.ParseFromString(bytes)) {
+    return done(MakeAnswer(ResultCode::kInternalError, "the result cannot be read"));
+  }
+  done(MakeAnswer(ResultCodeFromInt(result.code()), result.message()));
+}
+
+void OrderService::ReadHere(const ForwardedOrder& order, const Done& done) {
+  dependencies_.agreement->ReadBarrier([this, order, done](ResultCode code) {
+    dependencies_.executor->Post([this, order, done, code] {
+      if (code == ResultCode::kNotLeader) return SendOn(order, done);
+      if (code != ResultCode::kOk) {
+        return done(MakeAnswer(code, std::string(InfoOf(code).meaning)));
+      }
+      const std::optional<std::string> document = dependencies_.machine->document();
+      OrderAnswer answer = document
+                               ? MakeAnswer(ResultCode::kOk, "")
+                               : MakeAnswer(ResultCode::kPending, "nothing is in force");
+      if (document) answer.set_document(*document);
+      done(answer);
+    });
+  });
+}
+
+void OrderService::SendOn(const ForwardedOrder& order, const Done& done) {
+  const std::vector<Endpoint> peers = peers_();
+  if (order.hops() >= kMaxHops || peers.empty()) {
+    return done(MakeAnswer(ResultCode::kUnreachable, "no leader is known at present"));
+  }
+  ForwardedOrder next = order;
+  next.set_hops(order.hops() + 1);
+  dependencies_.rpc_client->Call(
+      peers.front(), kOrderMethod, next.SerializeAsString(), kForwardTimeout,
+      [this, done](ResultCode code, const std::string& bytes) {
+        dependencies_.executor->Post([done, code, bytes] {
+          OrderAnswer answer;
+          if (code == ResultCode::kOk && answer.ParseFromString(bytes)) {
+            return done(answer);
+          }
+          done(MakeAnswer(ResultCode::kUnreachable, "the leader does not answer"));
+        });
+      });
+}
+
+}  // namespace quetzal
--- a/src/libquetzal/distribution/spread_core.cc
+++ b/src/libquetzal/distribution/spread_core.cc
@@ -13,10 +13,8 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
-constexpr Duration kRpcTimeout = std::chrono::seconds(2);
 constexpr Duration kWaitForMembers = std::chrono::milliseconds(600);
 constexpr Duration kTimeToTell = std::chrono::milliseconds(600);
-constexpr char kExchangeMethod[] = "/membership/exchange";
 
 Member MakeSelf(const NodeIdentity& identity, std::uint64_t incarnation) {
   Member self;
@@ -102,16 +100,11 @@
   fanout_ =
       std::make_unique<Fanout>(settings_.fanout, identity_.instance, dependencies_.clock,
                                dependencies_.random, std::move(callbacks));
-  const Endpoint bound = dependencies_.datagrams->Bind(
-      identity_.gossip,
-      [weak = weak_from_this()](const Endpoint& from, std::string bytes) {
-        auto core = weak.lock();
-        if (core == nullptr) return;
-        core->Post([from, bytes = std::move(bytes)](Core* self) {
-          self->membership_->OnDatagram(from, bytes);
-          self->RunMembership();
-        });
-      });
+  membership_link_ = std::make_shared<MembershipLink>(
+      membership_.get(),
+      MembershipLink::Dependencies{dependencies_.datagrams, dependencies_.rpc_client,
+                                   dependencies_.rpc_server, dependencies_.executor});
+  const Endpoint bound = membership_link_->Bind(identity_.gossip);
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     gossip_address_ = bound;
@@ -175,6 +168,7 @@
   if (stopped_.exchange(true)) return;
   timer_.reset();
   dependencies_.executor->Post([self = shared_from_this()] {
+    if (self->membership_link_ != nullptr) self->membership_link_->Stop();
     if (self->link_ != nullptr) self->link_->Stop();
     if (self->fanout_ != nullptr) self->fanout_->CloseAll();
   });
@@ -207,29 +201,10 @@
 }
 
 void NodeSpread::Core::RunMembership() {
-  for (MembershipAction& action : membership_->TakeActions()) {
-    if (action.kind == MembershipAction::Kind::kSend) {
-      dependencies_.datagrams->Send(action.to, std::move(action.bytes));
-    } else {
-      RunExchange(action);
-    }
-  }
+  membership_link_->Run();
   incarnation_ = membership_->incarnation();
 }
 
-void NodeSpread::Core::RunExchange(const MembershipAction& action) {
-  dependencies_.rpc_client->Call(
-      action.to, kExchangeMethod, action.bytes, kRpcTimeout,
-      [weak = weak_from_this(), peer = action.to](ResultCode code, std::string body) {
-        auto core = weak.lock();
-        if (core == nullptr || code != ResultCode::kOk) return;
-        core->Post([peer, body = std::move(body)](Core* self) {
-          self->membership_->OnExchangeReply(peer, body);
-          self->RunMembership();
-        });
-      });
-}
-
 void NodeSpread::Core::OnMembershipChanged() {
   NoteMemberEvents();
   RefreshTargets();
@@ -246,7 +221,7 @@
   const SteadyTime now = dependencies_.clock->Now();
   for (const auto& [name, entry] : membership_->table().entries()) {
     const Member& member = entry.member;
-    if (member.data_centre() != identity_.data_centre) continue;
+    if (member.data_centre() != identity_.data_centre || member.control()) continue;
     if (name != identity_.instance && !link_->through_relay()) {
       book_.TakeState(member, now);
     }
@@ -298,6 +273,7 @@
   for (const auto& [name, entry] : membership_->table().entries()) {
     const Member& member = entry.member;
     if (member.data_centre() != identity_.data_centre || !TakesPart(member)) continue;
+    if (member.control()) continue;
     if (name == identity_.instance && !with_self) continue;
     if (member.state() == MEMBER_LEAVING && !with_leaving) continue;
     names.push_back(name);
@@ -307,8 +283,25 @@
 
 std::vector<std::string> NodeSpread::Core::ControlsInOrder() const {
   std::vector<std::string> names;
-  for (const Endpoint& control : settings_.controls) names.push_back(control.ToString());
-  return RankByRendezvous(std::move(names), identity_.instance);
+  for (const auto& [name, entry] : membership_->table().entries()) {
+    const Member& member = entry.member;
+    if (!member.control() || !TakesPart(member) || member.state() == MEMBER_SUSPECT)
+      continue;
+    if (TryEndpoint(member.stream_address())) names.push_back(member.stream_address());
+  }
+  names = RankByRendezvous(std::move(names), identity_.instance);
+  // The settings may be older than the members, who are not known yet after a start.
+  std::vector<std::string> stated;
+  for (const Endpoint& control : settings_.controls) {
+    std::string address = control.ToString();
+    if (std::find(names.begin(), names.end(), address) == names.end()) {
+      stated.push_back(std::move(address));
+    }
+  }
+  for (std::string& address : RankByRendezvous(std::move(stated), identity_.instance)) {
+    names.push_back(std::move(address));
+  }
+  return names;
 }
 
 bool NodeSpread::Core::WaitsForMembers() const {
--- a/src/libquetzal/distribution/spread_core.h
+++ b/src/libquetzal/distribution/spread_core.h
@@ -16,6 +16,7 @@
 #include "distribution/source_link.h"
 #include "distribution/vouching.h"
 #include "membership/membership.h"
+#include "membership/membership_link.h"
 
 namespace quetzal {
 
@@ -48,7 +49,6 @@
   void TickAcks();
   void TickLeaving();
   void RunMembership();
-  void RunExchange(const MembershipAction& action);
 
   void OnMembershipChanged();
   void NoteMemberEvents();
@@ -86,6 +86,7 @@
   NodeConfiguration configuration_;
   Vouching vouching_;
   std::unique_ptr<Membership> membership_;
+  std::shared_ptr<MembershipLink> membership_link_;
   std::shared_ptr<SourceLink> link_;
   std::unique_ptr<Fanout> fanout_;
   AckBook book_;
--- a/src/libquetzal/distribution/spread_core_source.cc
+++ b/src/libquetzal/distribution/spread_core_source.cc
@@ -17,7 +17,6 @@
 constexpr Duration kFetchAfter = std::chrono::seconds(2);
 constexpr Duration kUpwardTimeout = std::chrono::seconds(2);
 constexpr std::size_t kAddressesPerAnswer = 6;
-constexpr char kExchangeMethod[] = "/membership/exchange";
 constexpr char kVersionsMethod[] = "/distribution/versions";
 constexpr char kFetchMethod[] = "/distribution/fetch";
 
@@ -38,11 +37,7 @@
       });
     });
   };
-  serve(kExchangeMethod, [](Core* self, const std::string& request) {
-    std::string answer = self->membership_->OnExchange(request);
-    self->RunMembership();
-    return answer;
-  });
+  membership_link_->Serve();
   serve(kVersionsMethod, [](Core* self, const std::string& /*request*/) {
     VersionAnswer answer;
     answer.set_instance(self->identity_.instance);
--- a/src/libquetzal/kernel/runtime.h
+++ b/src/libquetzal/kernel/runtime.h
@@ -20,6 +20,9 @@
   /// Calls `stop` once at the first SIGTERM or SIGINT; later signals change nothing.
   virtual void OnStopSignal(std::function<void()> stop) = 0;
 
+  /// Calls `reload` at every SIGHUP, which no longer ends the process.
+  virtual void OnReloadSignal(std::function<void()> reload) = 0;
+
   /// Ends all workers; tasks not yet begun are dropped.
   virtual void Stop() = 0;
 };
--- /dev/null
+++ b/src/libquetzal/membership/membership_link.cc
@@ -0,0 +1,67 @@
+#include "membership/membership_link.h"
+
+#include <utility>
+
+namespace quetzal {
+namespace {
+
+constexpr Duration kExchangeTimeout = std::chrono::seconds(2);
+constexpr char kExchangeMethod[] = "/membership/exchange";
+
+}  // namespace
+
+Endpoint MembershipLink::Bind(const Endpoint& endpoint) {
+  return dependencies_.datagrams->Bind(
+      endpoint, [weak = weak_from_this(), executor = dependencies_.executor](
+                    const Endpoint& from, std::string bytes) {
+        executor->Post([weak, from, bytes = std::move(bytes)] {
+          auto self = weak.lock();
+          if (self == nullptr || self->stopped_) return;
+          self->membership_->OnDatagram(from, bytes);
+          self->Run();
+        });
+      });
+}
+
+void MembershipLink::Serve() {
+  dependencies_.rpc_server->Serve(
+      kExchangeMethod, [weak = weak_from_this(), executor = dependencies_.executor](
+                           const std::string& request, const RpcReply& reply) {
+        executor->Post([weak, request, reply] {
+          auto self = weak.lock();
+          if (self == nullptr || self->stopped_) {
+            return reply(ResultCode::kNodeStopping, "");
+          }
+          std::string answer = self->membership_->OnExchange(request);
+          self->Run();
+          reply(ResultCode::kOk, std::move(answer));
+        });
+      });
+}
+
+void MembershipLink::Run() {
+  for (MembershipAction& action : membership_->TakeActions()) {
+    if (action.kind == MembershipAction::Kind::kSend) {
+      dependencies_.datagrams->Send(action.to, std::move(action.bytes));
+    } else {
+      Exchange(action);
+    }
+  }
+}
+
+void MembershipLink::Exchange(const MembershipAction& action) {
+  dependencies_.rpc_client->Call(
+      action.to, kExchangeMethod, action.bytes, kExchangeTimeout,
+      [weak = weak_from_this(), executor = dependencies_.executor, peer = action.to](
+          ResultCode code, const std::string& body) {
+        if (code != ResultCode::kOk) return;
+        executor->Post([weak, peer, body] {
+          auto self = weak.lock();
+          if (self == nullptr || self->stopped_) return;
+          self->membership_->OnExchangeReply(peer, body);
+          self->Run();
+        });
+      });
+}
+
+}  // namespace quetzal
--- a/src/libquetzal/net/stream.h
+++ b/src/libquetzal/net/stream.h
@@ -90,6 +90,9 @@
                                        StreamHeaders headers, bool end,
                                        std::shared_ptr<StreamHandler> handler) = 0;
 
+  /// Asks peers to open their next streams elsewhere; those that come are still served.
+  virtual void PrepareDrain() {}
+
   /// Refuses new streams and tells peers so (GOAWAY); streams in flight go on.
   virtual void Drain() = 0;
 
--- a/src/libquetzal/node/backend_server_watch.cc
+++ b/src/libquetzal/node/backend_server_watch.cc
@@ -59,7 +59,7 @@
 
 bool Same(const LocalBackendServer& a, const LocalBackendServer& b) {
   return a.service == b.service && a.address == b.address && a.slots == b.slots &&
-         a.connections == b.connections && a.state == b.state;
+         a.connections == b.connections && a.state == b.state && a.id == b.id;
 }
 
 }  // namespace
@@ -76,6 +76,36 @@
   SetLocked(std::move(server));
 }
 
+void BackendServerWatch::TakeHeartbeat(const ServerHeartbeat& heartbeat) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
+  const bool same_run =
+      heartbeat.id == heartbeat_.id && heartbeat.born == heartbeat_.born;
+  if (heartbeat.born < heartbeat_.born) return;
+  if (same_run && heartbeat.sequence <= heartbeat_.sequence) return;
+  const bool left = same_run && heartbeat_.leaving;
+  heartbeat_ = heartbeat;
+  heartbeat_.leaving = heartbeat.leaving || left;
+  heard_ = clock_->Now();
+  LocalBackendServer server;
+  server.service = heartbeat.service;
+  server.address = heartbeat.address;
+  server.slots = heartbeat.slots;
+  server.state = heartbeat_.leaving ? SERVER_LEAVING : SERVER_UP;
+  server.id = heartbeat.id;
+  SetLocked(std::move(server));
+}
+
+void BackendServerWatch::TakeLeave(const std::string& id) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
+  if (id != heartbeat_.id || server_.state == SERVER_NONE) return;
+  heartbeat_.leaving = true;
+  LocalBackendServer server = server_;
+  server.state = SERVER_LEAVING;
+  SetLocked(std::move(server));
+}
+
 void BackendServerWatch::Leave() {
   std::lock_guard<std::mutex> lock(mutex_);
   if (server_.state == SERVER_NONE) return;
--- a/src/libquetzal/node/backend_server_watch.h
+++ b/src/libquetzal/node/backend_server_watch.h
@@ -1,6 +1,8 @@
 #ifndef QUETZAL_NODE_BACKEND_SERVER_WATCH_H_
 #define QUETZAL_NODE_BACKEND_SERVER_WATCH_H_
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -10,6 +12,17 @@
 
 namespace quetzal {
 
+/// What one incarnation of a backend server says of itself. Ordered by (born, sequence).
+struct ServerHeartbeat {
+  std::string id;  ///< Of the incarnation.
+  std::string service;
+  Endpoint address;
+  std::uint32_t slots = 0;
+  bool leaving = false;
+  std::chrono::milliseconds born{};  ///< Start of the incarnation, wall time since 1970.
+  std::uint64_t sequence = 0;
+};
+
 /// What the own backend server last announced, and whether it still does. Safe for use
 /// from several threads; its mutex is held while the observer runs, so that the observer
 /// hears of changes in their order.
@@ -23,6 +36,13 @@
   /// connections. Throws Error(kRequestMalformed), or Error(kNodeStopping) after Stop().
   void Announce(const std::string& json);
 
+  /// Takes a heartbeat in. One that is older than what is known changes nothing, and an
+  /// incarnation that has left stays so. Throws Error(kNodeStopping) after Stop().
+  void TakeHeartbeat(const ServerHeartbeat& heartbeat);
+
+  /// The incarnation `id` leaves; any other is not touched. Throws as TakeHeartbeat.
+  void TakeLeave(const std::string& id);
+
   /// The backend server leaves: no new work for it.
   void Leave();
 
@@ -43,6 +63,7 @@
   mutable std::mutex mutex_;
   LocalBackendServer server_;
   SteadyTime heard_;
+  ServerHeartbeat heartbeat_;  ///< The latest; empty id: none came.
   bool stopped_ = false;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <future>
 #include <thread>
 #include <utility>
@@ -35,6 +36,32 @@
   return limits;
 }
 
+/// Heartbeats that may be missed before the backend server counts as down.
+constexpr int kMissedHeartbeats = 4;
+
+/// Part of the time to stop that is left for the last answers and the end of the process.
+constexpr std::chrono::milliseconds kStopMargin{300};
+
+Duration DrainLimit(const Settings& settings) {
+  const Duration stop = settings.Millis("stop-limit-ms");
+  if (stop == Duration::zero()) return settings.Millis("drain-limit-ms");
+  return std::max<Duration>(Duration::zero(), stop - kStopMargin);
+}
+
+Duration AnnouncementTimeout(const Settings& settings) {
+  const Duration period = settings.Millis("heartbeat-period-ms");
+  if (period == Duration::zero()) return settings.Millis("announcement-timeout-ms");
+  return kMissedHeartbeats * period;
+}
+
+/// `addresses` with `port` in place of their own, when it is not 0.
+std::vector<Endpoint> WithPort(std::vector<Endpoint> addresses, std::int64_t port) {
+  for (Endpoint& address : addresses) {
+    if (port != 0) address.port = static_cast<std::uint16_t>(port);
+  }
+  return addresses;
+}
+
 KeyAcceptorOptions KeyOptions(const Settings& settings) {
   KeyAcceptorOptions options;
   options.max_records = static_cast<std::size_t>(settings.Integer("key-records"));
@@ -48,7 +75,8 @@
            EventLog* events)
     : clock_(clock),
       events_(events),
-      drain_limit_(settings.Millis("drain-limit-ms")),
+      drain_limit_(DrainLimit(settings)),
+      caller_grace_(settings.Millis("caller-grace-ms")),
       incarnation_(IncarnationAt(*clock)),
       instance_(settings.Text("instance")),
       data_centre_(settings.Text("data-centre")),
@@ -69,10 +97,13 @@
       rpc_server_(&router_, hybrid_clock),
       channels_(streams_.get(), &router_, hybrid_clock) {
   runtime_->OnStopSignal([this] { RequestStop(); });
+  // Settings come in flags and variables, which only a new process can read.
+  runtime_->OnReloadSignal([this] { events_->Emit({"settings.kept", {}}); });
   stream_address_ = streams_->Listen(settings.Address("streams"), router_.acceptor());
   caller_address_ = http_->Bind(settings.Address("callers"), CallerAcceptor());
   Join(settings);
   ServeAdmin(settings);
+  ServeServer(settings);
   ready_ = true;
   events_->Emit({"process.started",
                  {{"callers", caller_address_.ToString()},
@@ -84,6 +115,8 @@
 
 Node::~Node() {
   if (admin_) admin_->Stop();
+  if (heartbeats_) heartbeats_->Stop();
+  if (readiness_) readiness_->Stop();
   runtime_->Stop();
 }
 
@@ -97,8 +130,13 @@
 
 void Node::Join(const Settings& settings) {
   NodeSpreadSettings spread;
-  spread.controls = settings.Addresses("control");
+  const std::vector<Endpoint> controls = settings.Addresses("control");
+  spread.controls = WithPort(controls, settings.Integer("control-port"));
   spread.seeds = settings.Addresses("seeds");
+  if (const std::int64_t port = settings.Integer("control-gossip-port")) {
+    const std::vector<Endpoint> gossips = WithPort(controls, port);
+    spread.seeds.insert(spread.seeds.end(), gossips.begin(), gossips.end());
+  }
   NodeSpread::Dependencies spread_dependencies;
   spread_dependencies.datagrams = datagrams_.get();
   spread_dependencies.rpc_client = &rpc_client_;
@@ -127,6 +165,11 @@
   calls.backends = http_.get();
   calls.rpc_client = &rpc_client_;
   calls.rpc_server = &rpc_server_;
+  const std::string& dialect = settings.Text("call-dialect");
+  if (dialect != kOwnDialect) {
+    dialect_ = CallDialectRegistry::Instance().Create(dialect);
+  }
+  calls.dialect = dialect_.get();
   calls.keys = keys_.get();
   calls.executor = call_executor_.get();
   calls.clock = clock_;
@@ -137,6 +180,11 @@
   options.data_centre = data_centre_;
   options.incarnation = incarnation_;
   options.default_timeout = settings.Millis("call-timeout-ms");
+  options.service = settings.Text("service");
+  options.shared_retry_burst =
+      static_cast<std::uint32_t>(settings.Integer("retry-burst"));
+  options.retry_percent =
+      static_cast<std::uint32_t>(std::lround(settings.Ratio("retry-ratio") * 100));
   calls_ = std::make_unique<CallPath>(calls, options);
   router_.Handle(kCallStreamPath,
                  [acceptor = calls_->peer_acceptor()](const StreamHeaders& headers,
@@ -145,7 +193,7 @@
                  });
 
   backend_ = std::make_unique<BackendServerWatch>(
-      settings.Millis("announcement-timeout-ms"), clock_,
+      AnnouncementTimeout(settings), clock_,
       [this](const LocalBackendServer& server) { SetBackendServer(server); });
   spread_->Start();
   watch_timer_ = node_executor_->Every(kWatchPeriod, [this] { Watch(); });
@@ -162,6 +210,29 @@
       });
 }
 
+void Node::ServeServer(const Settings& settings) {
+  const std::string& name = settings.Text("server-interface");
+  if (name.empty()) return;
+  server_interface_ = ServerInterfaceRegistry::Instance().Create(
+      name, ServerInterfaceDependencies{backend_.get(), settings.Text("service"), [this] {
+                                          return !stop_requested_ &&
+                                                 spread_->status().serving;
+                                        }});
+  if (!settings.Text("heartbeats").empty()) {
+    heartbeats_ = AdminServerRegistry::Instance().Create("cpprest");
+    heartbeats_->Listen(settings.Address("heartbeats"),
+                        [this](const AdminRequest& request, const AdminReply& reply) {
+                          server_interface_->HandleServer(request, reply);
+                        });
+  }
+  if (settings.Text("readiness").empty()) return;
+  readiness_ = AdminServerRegistry::Instance().Create("cpprest");
+  readiness_->Listen(settings.Address("readiness"),
+                     [this](const AdminRequest& request, const AdminReply& reply) {
+                       server_interface_->HandleReadiness(request, reply);
+                     });
+}
+
 void Node::SetBackendServer(const LocalBackendServer& server) {
   calls_->SetBackendServer(server);
   BackendServer announced;
@@ -254,21 +325,29 @@
   // Peers learn first that no new work is wanted. Callers are still served while their
   // connections close, so that none of them is refused for being at the wrong node.
   spread_->AnnounceLeaving();
-  http_->Drain();
-  HandOverKeys(limit);
+  if (caller_grace_ > Duration::zero()) {
+    http_->PrepareDrain();
+    std::this_thread::sleep_for(caller_grace_);
+    http_->Drain();
+  } else {
+    http_->Drain();
+    HandOverKeys(limit);
+  }
   spread_->Leave([left] { left->set_value(); });
   calls_->Drain([drained] { drained->set_value(); });
   drained_future.wait_until(limit);
   left_future.wait_until(limit);
   streams_->Drain();
   // Answers given to the sockets may still be on their way out.
-  const SteadyTime flush_limit = clock_->Now() + kFlushLimit;
+  const SteadyTime flush_limit = std::min(clock_->Now() + kFlushLimit, limit);
   while (http_->open_streams() + streams_->open_streams() > 0 &&
          clock_->Now() < flush_limit) {
     std::this_thread::sleep_for(kStopPoll);
   }
   const std::uint64_t cut = calls_->counts().in_flight;
   admin_->Stop();
+  if (heartbeats_) heartbeats_->Stop();
+  if (readiness_) readiness_->Stop();
   watch_timer_.reset();
   spread_->Stop();
   events_->Emit({"process.stopped", {{"cut", std::to_string(cut)}}});
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -13,6 +13,7 @@
 #include "base/metrics.h"
 #include "base/random.h"
 #include "base/settings.h"
+#include "calls/call_dialect.h"
 #include "calls/call_path.h"
 #include "distribution/node_spread.h"
 #include "kernel/runtime.h"
@@ -27,6 +28,7 @@
 #include "net/stream_rpc_server.h"
 #include "node/backend_server_watch.h"
 #include "node/node_admin.h"
+#include "node/server_interface.h"
 
 namespace quetzal {
 
@@ -59,6 +61,7 @@
   StreamAcceptor CallerAcceptor();
   void Join(const Settings& settings);
   void ServeAdmin(const Settings& settings);
+  void ServeServer(const Settings& settings);
   void SetBackendServer(const LocalBackendServer& server);
   void Watch();
   void StartAccepting();
@@ -74,6 +77,7 @@
   const Clock* clock_;
   EventLog* events_;
   const Duration drain_limit_;
+  const Duration caller_grace_;
   const std::uint64_t incarnation_;
   std::string instance_;
   std::string data_centre_;
@@ -110,6 +114,10 @@
   std::unique_ptr<BackendServerWatch> backend_;
   std::unique_ptr<MetricsFormat> metrics_;
   std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<CallDialect> dialect_;
+  std::unique_ptr<ServerInterface> server_interface_;
+  std::unique_ptr<AdminServer> heartbeats_;
+  std::unique_ptr<AdminServer> readiness_;
   std::unique_ptr<Timer> watch_timer_;
   Version keys_version_;  ///< Of the watch's own sequence of tasks.
 };
--- a/src/plugins/admin_cpprest/cpprest_admin_server.cc
+++ b/src/plugins/admin_cpprest/cpprest_admin_server.cc
@@ -24,7 +24,7 @@
 using web::http::http_response;
 
 constexpr int kThreads = 2;
-constexpr std::size_t kMaxBodyBytes = 1'048'576;
+constexpr std::size_t kMaxBodyBytes = 2'097'152;
 constexpr int kPortTries = 20;
 
 // The library's own pool would start 40 threads.
--- a/src/plugins/http1_beast/http1_client_connection.cc
+++ b/src/plugins/http1_beast/http1_client_connection.cc
@@ -1,6 +1,8 @@
 #include "plugins/http1_beast/http1_client_connection.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -15,6 +17,21 @@
 
 constexpr int kSwitchingProtocols = 101;
 
+/// How much sooner than the peer states an idle connection is closed here, so that a
+/// request does not cross the peer's close.
+constexpr std::chrono::seconds kIdleMargin{1};
+
+/// Seconds of "timeout=N" in a Keep-Alive field; zero when it states none.
+Duration StatedIdleLimit(std::string_view keep_alive) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = keep_alive.find(kName);
+  if (at == std::string_view::npos) return Duration::zero();
+  std::uint32_t seconds = 0;
+  const char* begin = keep_alive.data() + at + kName.size();
+  std::from_chars(begin, keep_alive.data() + keep_alive.size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
 }  // namespace
 
 Http1ClientConnection::Http1ClientConnection(std::shared_ptr<Http1Host> host,
@@ -70,7 +87,7 @@
 }
 
 void Http1ClientConnection::NewParser() {
-  interim_ = false;
+  skipped_ = false;
   parser_ = std::make_unique<Http1Parser>(
       to_head_ ? Http1Message::kAnswerToHead : Http1Message::kAnswer, host_->options());
 }
@@ -133,7 +150,7 @@
   try {
     while (!bytes.empty() && !answer_done_) {
       bytes.remove_prefix(parser_->Parse(bytes, this));
-      if (interim_ && parser_->done()) NewParser();
+      if (skipped_ && parser_->done()) NewParser();
     }
   } catch (const Error&) {
     return Fail(ResultCode::kAnswerCut);
@@ -142,23 +159,39 @@
 }
 
 void Http1ClientConnection::OnHead(Http1Head head) {
-  if (head.status == kSwitchingProtocols || (head.until_close && head.http11)) {
+  if (head.status == kSwitchingProtocols) {
     throw Error(ResultCode::kAnswerCut, "the end of this answer cannot be known");
   }
-  interim_ = head.status < 200;
-  if (interim_) return;
+  skipped_ = head.status < 200 || IsForeign(head.headers);
+  if (skipped_) return;
   answer_begun_ = true;
   keep_alive_ = head.keep_alive && !head.until_close;
+  peer_idle_limit_ = StatedIdleLimit(HeaderValue(head.headers, "keep-alive"));
   head.headers.emplace(head.headers.begin(), ":status", std::to_string(head.status));
   stream_->handler->OnHeaders(std::move(head.headers));
 }
 
+/// An answer to an earlier request may come late, where the next one is expected.
+bool Http1ClientConnection::IsForeign(const StreamHeaders& headers) const {
+  if (stream_->echo_name.empty()) return false;
+  const std::string_view value = HeaderValue(headers, stream_->echo_name);
+  return !value.empty() && value != stream_->echo_value;
+}
+
+Duration Http1ClientConnection::IdleLimit() const {
+  const Duration own = host_->options().idle_timeout;
+  if (peer_idle_limit_ == Duration::zero()) return own;
+  return std::min(own,
+                  std::max<Duration>(Duration::zero(), peer_idle_limit_ - kIdleMargin));
+}
+
 void Http1ClientConnection::OnBody(std::string_view bytes) {
+  if (skipped_) return;
   held_ += bytes.size();
   stream_->handler->OnData(bytes);
 }
 
-void Http1ClientConnection::OnMessageEnd() { answer_done_ = !interim_; }
+void Http1ClientConnection::OnMessageEnd() { answer_done_ = !skipped_; }
 
 void Http1ClientConnection::Complete(bool leftover) {
   const auto self = std::static_pointer_cast<Http1ClientConnection>(shared_from_this());
@@ -170,7 +203,7 @@
                      !output_pending() && !read_ended();
   if (clean) {
     parser_.reset();
-    SetDeadline(host_->options().idle_timeout);
+    SetDeadline(IdleLimit());
     if (!host_->Park(self)) Fail(ResultCode::kOk);
   } else {
     Fail(ResultCode::kOk);
@@ -180,7 +213,7 @@
 
 void Http1ClientConnection::ReadEnded(bool in_order) {
   if (!stream_) return Fail(ResultCode::kOk);
-  if (in_order && parser_->head_done() && !interim_ && parser_->ParseEnd(this) &&
+  if (in_order && parser_->head_done() && !skipped_ && parser_->ParseEnd(this) &&
       answer_done_) {
     return Complete(false);
   }
--- a/src/plugins/http1_beast/http1_client_connection.h
+++ b/src/plugins/http1_beast/http1_client_connection.h
@@ -23,6 +23,8 @@
   StreamHeaders headers;
   bool request_ended = false;  ///< The request has no body.
   bool fresh = false;          ///< On a connection of its own.
+  std::string echo_name;       ///< Field that an answer repeats; empty: none.
+  std::string echo_value;      ///< What it says in the answer to this request.
 };
 
 /// A connection to a peer: one request at a time, never sent a second time. It is kept
@@ -62,6 +64,8 @@
   void PumpRequest();
   void Complete(bool leftover);
   void NewParser();
+  bool IsForeign(const StreamHeaders& headers) const;
+  Duration IdleLimit() const;
 
   /// Closes and tells the handler unless `code` is kOk.
   void Fail(ResultCode code);
@@ -78,10 +82,11 @@
   bool to_head_ = false;
   bool sent_ = false;  ///< A byte of the request may have left.
   bool request_done_ = false;
-  bool interim_ = false;  ///< The message being parsed is a 1xx answer.
+  bool skipped_ = false;  ///< The message being parsed is no answer to this request.
   bool answer_begun_ = false;
   bool answer_done_ = false;
   bool keep_alive_ = false;
+  Duration peer_idle_limit_{};  ///< As the peer states it; zero: not stated.
 };
 
 }  // namespace quetzal
--- a/src/plugins/http1_beast/http1_transport.cc
+++ b/src/plugins/http1_beast/http1_transport.cc
@@ -54,6 +54,12 @@
   stream->peer = peer;
   stream->path = path;
   stream->fresh = HeaderValue(headers, ":connection") == "fresh";
+  const std::string_view echo = HeaderValue(headers, ":echo");
+  const std::size_t equals = echo.find('=');
+  if (equals != std::string_view::npos) {
+    stream->echo_name = echo.substr(0, equals);
+    stream->echo_value = echo.substr(equals + 1);
+  }
   stream->headers = std::move(headers);
   stream->request_ended = end;
   ++host_->open_streams;
--- a/src/plugins/http1_beast/http1_transport.h
+++ b/src/plugins/http1_beast/http1_transport.h
@@ -4,12 +4,12 @@
 #include <memory>
 
 #include "net/stream.h"
+#include "plugins/http1_beast/http1_host.h"
 #include "plugins/http1_beast/http1_options.h"
 #include "plugins/runtime_asio/worker_pool.h"
 
 namespace quetzal {
 
-class Http1Host;
 class TcpListener;
 
 /// HTTP/1.1 as a StreamTransport: accepts callers' requests and opens requests to backend
@@ -24,7 +24,8 @@
 /// request was sent, kConnectionLost that the answer had not begun, kAnswerCut that it
 /// was not whole. The pseudo field ":connection" with the value "fresh" asks for a
 /// connection of its own. A Reset closes the connection and is not reported to the
-/// handler.
+/// handler. The pseudo field ":echo" with "NAME=VALUE" skips answers whose field NAME has
+/// another value. An answer without a length is whole when its connection ends in order.
 class Http1Transport final : public StreamTransport {
  public:
   /// `workers` must outlive the transport and be stopped before it is destroyed.
@@ -37,7 +38,10 @@
                                StreamHeaders headers, bool end,
                                std::shared_ptr<StreamHandler> handler) override;
 
-  /// Ends listening; answers from now on carry Connection: close.
+  /// Answers from now on carry Connection: close; idle connections are closed soon.
+  void PrepareDrain() override { host_->Drain(); }
+
+  /// Ends listening as well.
   void Drain() override;
   std::size_t open_streams() const override;
 
--- a/src/plugins/runtime_asio/worker_pool.cc
+++ b/src/plugins/runtime_asio/worker_pool.cc
@@ -123,6 +123,21 @@
   signals_ = signals;
 }
 
+void WorkerPool::OnReloadSignal(std::function<void()> reload) {
+  reload_signals_ = std::make_shared<boost::asio::signal_set>(context_, SIGHUP);
+  reload_ = std::move(reload);
+  AwaitReload();
+}
+
+void WorkerPool::AwaitReload() {
+  reload_signals_->async_wait(
+      [this](const boost::system::error_code& ec, int /*signal*/) {
+        if (ec) return;
+        reload_();
+        AwaitReload();
+      });
+}
+
 void WorkerPool::Stop() {
   guard_.reset();
   context_.stop();
--- a/src/plugins/runtime_asio/worker_pool.h
+++ b/src/plugins/runtime_asio/worker_pool.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 
 #include "kernel/runtime.h"
 
@@ -29,13 +30,18 @@
 
   std::unique_ptr<Executor> MakeExecutor() override;
   void OnStopSignal(std::function<void()> stop) override;
+  void OnReloadSignal(std::function<void()> reload) override;
   void Stop() override;
 
  private:
+  void AwaitReload();
+
   boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
   std::vector<std::thread> threads_;
   std::shared_ptr<void> signals_;
+  std::shared_ptr<boost::asio::signal_set> reload_signals_;
+  std::function<void()> reload_;
 };
 
 }  // namespace quetzal
