--- a/src/control/control_program.cc
+++ b/src/control/control_program.cc
@@ -13,6 +13,9 @@
 // Nodes of a whole fleet may subscribe to one control instance.
 constexpr std::size_t kMaxAcceptedConnections = 2048;
 
+/// Log entries hold whole configurations; the log stands in memory until a snapshot.
+constexpr std::uint64_t kSnapshotLogBytes = 2 << 20;
+
 StreamTransportOptions TransportLimits() {
   StreamTransportOptions limits;
   limits.max_accepted_connections = kMaxAcceptedConnections;
@@ -94,6 +97,7 @@
   // Settings come in flags and variables, which only a new process can read.
   runtime_->OnReloadSignal([this] { events_.Emit({"settings.kept", {}}); });
   AgreementOptions options;
+  options.snapshot_log_bytes = kSnapshotLogBytes;
   options.bootstrap = settings.Flag("bootstrap") && IsFounder(settings);
   agreement_ = std::make_unique<AgreementService>(
       AgreementPeer{settings.Text("instance"), settings.Address("streams")},
--- a/src/libquetzal/distribution/publisher.cc
+++ b/src/libquetzal/distribution/publisher.cc
@@ -82,6 +82,8 @@
   }
 
   ResultCode Admit(const Subscribe& subscribe) {
+    // A log that is still being filled would give old configurations and prove nothing.
+    if (!rooted_) return ResultCode::kNotRooted;
     if (!subscribe.gossip_address().empty()) {
       const std::string& address = subscribe.gossip_address();
       if (addresses_.size() < kMaxKnownAddresses) {
--- a/src/libquetzal/distribution/spread_core.cc
+++ b/src/libquetzal/distribution/spread_core.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
+/// A question costs a control instance one round to its quorum at most.
+constexpr Duration kVouchingRetry = std::chrono::milliseconds(300);
 constexpr Duration kWaitForMembers = std::chrono::milliseconds(600);
 constexpr Duration kTimeToTell = std::chrono::milliseconds(600);
 
@@ -40,7 +42,7 @@
       settings_(std::move(settings)),
       dependencies_(dependencies),
       configuration_(dependencies.clock, settings_.pause_limit),
-      vouching_({std::chrono::seconds(1), settings_.cut_off_patience}, dependencies.clock,
+      vouching_({kVouchingRetry, settings_.cut_off_patience}, dependencies.clock,
                 dependencies.random),
       members_(std::make_shared<const std::vector<Member>>()) {
   if (identity_.incarnation == 0) {
--- a/src/libquetzal/net/stream_transport_registry.h
+++ b/src/libquetzal/net/stream_transport_registry.h
@@ -17,6 +17,9 @@
 
   /// Time for the whole head of a request; of no effect where heads come in one frame.
   std::optional<Duration> head_timeout;
+
+  /// A caller that ends its side amid an exchange has gone; of HTTP/1.1 only.
+  std::optional<bool> half_close_cancels;
 };
 
 /// Transports by name. The runtime must outlive the transport and be stopped before it is
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -31,6 +31,7 @@
 StreamTransportOptions CallerLimits(const Settings& settings) {
   StreamTransportOptions limits;
   limits.head_timeout = settings.Millis("head-timeout-ms");
+  limits.half_close_cancels = settings.Flag("half-close-cancels");
   limits.max_accepted_connections =
       static_cast<std::size_t>(settings.Integer("max-callers"));
   return limits;
@@ -105,6 +106,8 @@
   ServeAdmin(settings);
   ServeServer(settings);
   ready_ = true;
+  // Callers hear at once that they have to come back, where readiness keeps most away.
+  if (server_interface_) StartAccepting();
   events_->Emit({"process.started",
                  {{"callers", caller_address_.ToString()},
                   {"streams", stream_address_.ToString()},
@@ -132,6 +135,7 @@
   NodeSpreadSettings spread;
   const std::vector<Endpoint> controls = settings.Addresses("control");
   spread.controls = WithPort(controls, settings.Integer("control-port"));
+  spread.backoff_cap = settings.Millis("reconnect-cap-ms");
   spread.seeds = settings.Addresses("seeds");
   if (const std::int64_t port = settings.Integer("control-gossip-port")) {
     const std::vector<Endpoint> gossips = WithPort(controls, port);
@@ -328,7 +332,6 @@
   if (caller_grace_ > Duration::zero()) {
     http_->PrepareDrain();
     std::this_thread::sleep_for(caller_grace_);
-    http_->Drain();
   } else {
     http_->Drain();
     HandOverKeys(limit);
@@ -337,6 +340,8 @@
   calls_->Drain([drained] { drained->set_value(); });
   drained_future.wait_until(limit);
   left_future.wait_until(limit);
+  // Until now callers who came late were told at once to come back.
+  if (caller_grace_ > Duration::zero()) http_->Drain();
   streams_->Drain();
   // Answers given to the sockets may still be on their way out.
   const SteadyTime flush_limit = std::min(clock_->Now() + kFlushLimit, limit);
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -40,6 +40,8 @@
            "Period of the heartbeats; when stated, it sets --announcement-timeout-ms."},
           {"readiness", K::kEndpoint, "address:port", "", 0, 0, false,
            "With --server-interface: address that tells whether callers are taken."},
+          {"reconnect-cap-ms", K::kMillis, "ms", "2000", 10, 600000, false,
+           "Longest pause between tries to reach a source of configurations."},
           {"caller-grace-ms", K::kMillis, "ms", "0", 0, 600000, false,
            "Time after a stop signal in which new callers are still served."},
           {"stop-limit-ms", K::kMillis, "ms", "0", 0, 600000, false,
@@ -62,6 +64,9 @@
            "Time for the head of a caller's request."},
           {"max-callers", K::kInteger, "connections", "2048", 1, 100000, false,
            "Connections of callers at once."},
+          {"half-close-cancels", K::kFlag, "", "false", 0, 0, false,
+           "A caller that ends its side of a connection amid a request has gone; otherwise "
+           "it still reads the answer."},
           {"call-timeout-ms", K::kMillis, "ms", "30000", 10, 3600000, false,
            "Time limit of requests whose route has none."},
           {"key-records", K::kInteger, "records", "40000", 1, 10000000, false,
--- a/src/plugins/http1_beast/http1_options.h
+++ b/src/plugins/http1_beast/http1_options.h
@@ -24,6 +24,10 @@
   /// Time that an opened connection is kept for reuse.
   Duration idle_timeout = std::chrono::seconds(15);
 
+  /// What a caller means that ends its side amid an exchange: false: it still reads the
+  /// answer; true: it has gone.
+  bool half_close_cancels = false;
+
   std::size_t max_accepted_connections = 2048;
   std::size_t max_connections_per_peer = 512;
   std::size_t max_idle_per_peer = 32;
--- a/src/plugins/http1_beast/http1_server_connection.cc
+++ b/src/plugins/http1_beast/http1_server_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -17,8 +18,21 @@
 /// Time in which an idle connection may still bring a request after a drain began.
 constexpr std::chrono::milliseconds kDrainGrace{2000};
 
+/// Requests of one connection that are served at the same time.
+constexpr std::size_t kMaxPipelined = 16;
+
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Methods whose requests a caller may send behind one another and send again.
+bool IsSafeMethod(std::string_view method) {
+  return method == "GET" || method == "HEAD";
+}
+
+/// True when a request that begins with `bytes` has a safe method.
+bool BeginsSafely(std::string_view bytes) {
+  return IsSafeMethod(bytes.substr(0, bytes.find(' ')));
+}
+
 int StatusOf(const StreamHeaders& headers) {
   const std::string_view text = HeaderValue(headers, ":status");
   int status = 200;
@@ -37,10 +51,12 @@
       strand(),
       [self = std::static_pointer_cast<Http1ServerConnection>(shared_from_this())] {
         self->Prepare();
-        self->NextRequest();
+        self->AwaitRequest();
+        self->UpdateDeadline();
         if (!self->host_->AddAccepted(self)) {
           self->Refuse(ResultCode::kOverloaded);
         } else if (self->host_->draining()) {
+          self->closing_ = true;
           self->SetDeadline(kDrainGrace);
         }
         self->WantRead();
@@ -51,177 +67,231 @@
   boost::asio::post(
       strand(),
       [self = std::static_pointer_cast<Http1ServerConnection>(shared_from_this())] {
-        self->close_after_ = true;
-        if (self->state_ == State::kHead && !self->parser_->head_begun()) {
-          self->SetDeadline(kDrainGrace);
-        }
+        if (self->closed()) return;
+        self->closing_ = true;
+        self->UpdateDeadline();
       });
 }
 
-void Http1ServerConnection::NextRequest() {
-  state_ = State::kHead;
+/// `bytes` are the next that would be parsed.
+bool Http1ServerConnection::MayBeginRequest(std::string_view bytes) const {
+  if (refusal_) return false;
+  if (exchanges_.empty()) return true;
+  if (closing_ || exchanges_.size() >= kMaxPipelined) return false;
+  if (!exchanges_.back()->may_share || exchanges_.back()->close) return false;
+  // A request that is not safe waits until the answers before it have left: a caller
+  // sends it again when one of them closes the connection.
+  return parser_->head_begun() || BeginsSafely(bytes);
+}
+
+void Http1ServerConnection::AwaitRequest() {
   parser_ = std::make_unique<Http1Parser>(Http1Message::kRequest, host_->options());
-  writer_ = Http1Writer();
-  held_ = 0;
-  request_done_ = false;
-  head_sent_ = false;
-  answer_done_ = false;
-  SetDeadline(host_->options().keep_alive_timeout);
 }
 
 std::size_t Http1ServerConnection::ReadLimit() const {
-  if (state_ == State::kHead || state_ == State::kLingering) return kHeadReadBytes;
+  if (state_ == State::kLingering) return kHeadReadBytes;
   if (state_ == State::kRefused) return 0;
-  if (request_done_) return stash_.empty() ? kHeadReadBytes : 0;
+  if (!reading_) {
+    // Where nothing more may be parsed, one read still tells when the caller goes away.
+    return stash_.empty() ? kHeadReadBytes : 0;
+  }
   const std::size_t window = host_->options().window_bytes;
   return held_ < window ? window - held_ : 0;
 }
 
 void Http1ServerConnection::Received(std::string_view bytes) {
-  if (state_ == State::kLingering) return;
-  if (request_done_) {
-    stash_.append(bytes);
-    return;
-  }
-  Feed(bytes);
+  if (state_ == State::kOpen) Feed(bytes);
 }
 
 void Http1ServerConnection::Feed(std::string_view bytes) {
-  const bool head_begun = parser_->head_begun();
-  std::size_t used = 0;
-  try {
-    used = parser_->Parse(bytes, this);
-  } catch (const Error& error) {
-    return Refuse(error.code());
-  }
-  stash_ = bytes.substr(used);
-  if (state_ == State::kHead && !head_begun && parser_->head_begun()) {
-    SetDeadline(host_->options().head_timeout);
-  } else if (state_ == State::kExchange) {
-    UpdateDeadline();
+  const auto self = shared_from_this();
+  while (!bytes.empty() && state_ == State::kOpen && !closed() &&
+         (reading_ || MayBeginRequest(bytes))) {
+    try {
+      bytes.remove_prefix(parser_->Parse(bytes, this));
+    } catch (const Error& error) {
+      return RefuseRequest(error.code());
+    }
+    if (parser_->done()) AwaitRequest();
   }
+  stash_ = bytes;
+  if (state_ == State::kOpen && !closed()) UpdateDeadline();
 }
 
 void Http1ServerConnection::OnHead(Http1Head head) {
-  state_ = State::kExchange;
-  http11_ = head.http11;
-  to_head_ = head.method == "HEAD";
-  close_after_ = close_after_ || !head.keep_alive || !head.http11 || host_->draining();
   const Http1Options& options = host_->options();
-  stream_ =
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->http11 = head.http11;
+  exchange->to_head = head.method == "HEAD";
+  exchange->may_share = IsSafeMethod(head.method);
+  exchange->close = !head.keep_alive || !head.http11;
+  exchange->stream =
       std::make_shared<QueuedStream>(options.max_buffered_bytes, options.low_mark_bytes);
-  stream_->Attach(weak_from_this());
+  exchange->stream->Attach(weak_from_this());
   ++host_->open_streams;
+  reading_ = exchange;
+  exchanges_.push_back(exchange);
   const bool expects = HeaderValue(head.headers, "expect") == "100-continue";
   head.headers.emplace(head.headers.begin(), ":method", std::move(head.method));
   const StreamAcceptor acceptor = host_->acceptor();
-  try {
-    if (acceptor) handler_ = acceptor(head.target, head.headers, stream_);
-  } catch (const Error& error) {
-    return Refuse(error.code());
+  if (acceptor) {
+    exchange->handler = acceptor(head.target, head.headers, exchange->stream);
   }
-  if (!handler_) return Refuse(ResultCode::kMethodUnknown);
-  if (expects && http11_) Write(kContinue);
+  if (!exchange->handler) throw Error(ResultCode::kMethodUnknown, "nobody serves it");
+  if (expects && exchange->http11 && exchanges_.size() == 1) Write(kContinue);
 }
 
 void Http1ServerConnection::OnBody(std::string_view bytes) {
-  if (!handler_) return;
   held_ += bytes.size();
-  handler_->OnData(bytes);
+  if (reading_) reading_->handler->OnData(bytes);
 }
 
 void Http1ServerConnection::OnMessageEnd() {
-  request_done_ = true;
-  if (handler_) handler_->OnEnd();
+  if (!reading_) return;
+  const auto exchange = std::exchange(reading_, nullptr);
+  held_ = 0;
+  exchange->request_done = true;
+  exchange->handler->OnEnd();
+}
+
+/// The request that is being read cannot be served; those before it still are.
+void Http1ServerConnection::RefuseRequest(ResultCode code) {
+  stash_.clear();
+  if (reading_) {
+    const auto exchange = std::exchange(reading_, nullptr);
+    const bool front = exchanges_.front() == exchange;
+    if (front && exchange->head_sent) return Abort(code);
+    exchanges_.erase(std::find(exchanges_.begin(), exchanges_.end(), exchange));
+    Drop(exchange, code);
+  }
+  refusal_ = code;
+  if (exchanges_.empty()) Refuse(code);
 }
 
 void Http1ServerConnection::HandleWork(const std::shared_ptr<QueuedStream>& stream) {
-  if (stream != stream_) return;
-  const QueuedStream::Work work = stream->TakeWork();
-  held_ -= std::min(held_, work.consumed);
-  if (work.reset) return Abort(work.reset_code);
-  if (work.has_headers && !head_sent_) AnswerHead(work);
-  if (state_ == State::kExchange && head_sent_ && !answer_done_) PumpAnswer();
-  if (state_ == State::kExchange) UpdateDeadline();
+  // The work of the others waits in their streams until they are first.
+  if (exchanges_.empty() || exchanges_.front()->stream != stream) return;
+  PumpFront();
+  if (closed()) return;
+  if (state_ == State::kOpen) UpdateDeadline();
   WantRead();
 }
 
+void Http1ServerConnection::PumpFront() {
+  const ExchangePtr front = exchanges_.front();
+  const QueuedStream::Work work = front->stream->TakeWork();
+  if (front == reading_) held_ -= std::min(held_, work.consumed);
+  if (work.reset) return Abort(work.reset_code);
+  if (work.has_headers && !front->head_sent) AnswerHead(work);
+  if (state_ == State::kOpen && !closed() && front->head_sent && !front->answer_done) {
+    PumpAnswer();
+  }
+}
+
 void Http1ServerConnection::AnswerHead(const QueuedStream::Work& work) {
+  const ExchangePtr front = exchanges_.front();
+  const bool is_last = exchanges_.size() == 1;
   // An answer in front of the request's end closes, as the rest is not waited for.
-  close_after_ = close_after_ || !request_done_ || host_->draining() ||
-                 HeaderValue(work.headers, "connection") == "close";
+  front->close = front->close || !front->request_done ||
+                 HeaderValue(work.headers, "connection") == "close" ||
+                 (is_last && (closing_ || host_->draining()));
   try {
-    Write(writer_.AnswerHead(StatusOf(work.headers), work.headers, !work.headers_end,
-                             http11_, to_head_, close_after_));
-    head_sent_ = true;
+    Write(front->writer.AnswerHead(StatusOf(work.headers), work.headers,
+                                   !work.headers_end, front->http11, front->to_head,
+                                   front->close));
+    front->head_sent = true;
     if (!work.headers_end) return;
     std::string rest;
-    writer_.AppendEnd(&rest);
-    answer_done_ = true;
+    front->writer.AppendEnd(&rest);
+    front->answer_done = true;
   } catch (const Error&) {
-    if (head_sent_) return Abort(ResultCode::kAnswerCut);
+    if (front->head_sent) return Abort(ResultCode::kAnswerCut);
     Refuse(ResultCode::kInternalError);
   }
 }
 
 void Http1ServerConnection::PumpAnswer() {
-  const auto stream = stream_;
-  const auto handler = handler_;
+  const ExchangePtr front = exchanges_.front();
   try {
-    answer_done_ = Pump(*stream, &writer_, handler.get());
+    front->answer_done = Pump(*front->stream, &front->writer, front->handler.get());
   } catch (const Error& error) {
     return Abort(error.code());
   }
-  if (answer_done_ && !output_pending()) EndExchange();
+  if (front->answer_done && !output_pending()) EndFront();
 }
 
 void Http1ServerConnection::Written() {
-  if (answer_done_) return EndExchange();
-  if (state_ != State::kExchange) return;
-  if (head_sent_) PumpAnswer();
-  if (state_ == State::kExchange) UpdateDeadline();
+  if (state_ == State::kRefused) return Linger();
+  if (state_ != State::kOpen || exchanges_.empty()) return;
+  const ExchangePtr front = exchanges_.front();
+  if (front->answer_done) {
+    EndFront();
+  } else if (front->head_sent) {
+    PumpAnswer();
+  }
+  if (state_ == State::kOpen && !closed()) UpdateDeadline();
 }
 
-void Http1ServerConnection::EndExchange() {
-  DropStream(ResultCode::kOk);
-  if (close_after_ || !request_done_ || read_ended()) return Linger();
-  NextRequest();
+void Http1ServerConnection::EndFront() {
+  const auto self = shared_from_this();
+  const ExchangePtr front = exchanges_.front();
+  exchanges_.pop_front();
+  Drop(front, ResultCode::kOk);
+  const bool last = exchanges_.empty() && read_ended();
+  if (front->close || !front->request_done || last) return Linger();
+  if (!exchanges_.empty()) {
+    PumpFront();
+  } else if (refusal_) {
+    return Refuse(*refusal_);
+  }
+  if (closed() || state_ != State::kOpen) return;
   if (!stash_.empty()) Feed(std::exchange(stash_, {}));
-  WantRead();
+  if (!closed()) WantRead();
 }
 
 void Http1ServerConnection::UpdateDeadline() {
-  if (output_pending() || (!request_done_ && ReadLimit() > 0)) {
-    SetDeadline(host_->options().stall_timeout);
-  } else {
+  const Http1Options& options = host_->options();
+  if (output_pending() || (reading_ && ReadLimit() > 0)) {
+    SetDeadline(options.stall_timeout);
+  } else if (!exchanges_.empty()) {
     ClearDeadline();
+  } else if (parser_->head_begun()) {
+    // From the first byte on; later ones do not prolong it.
+    if (!head_deadline_) SetDeadline(options.head_timeout);
+    head_deadline_ = true;
+    return;
+  } else {
+    SetDeadline(closing_ ? kDrainGrace : options.keep_alive_timeout);
   }
+  head_deadline_ = false;
 }
 
 void Http1ServerConnection::Refuse(ResultCode code) {
-  const bool head_sent = head_sent_;
-  DropStream(code);
+  const bool head_sent = !exchanges_.empty() && exchanges_.front()->head_sent;
+  DropAll(code);
   if (head_sent) return Close();
   state_ = State::kRefused;
-  head_sent_ = true;
-  answer_done_ = true;
-  close_after_ = true;
   Write(RefusalAnswer(code));
   SetDeadline(host_->options().stall_timeout);
 }
 
-void Http1ServerConnection::DropStream(ResultCode code) {
-  if (!stream_) return;
+void Http1ServerConnection::Drop(const ExchangePtr& exchange, ResultCode code) {
   --host_->open_streams;
-  stream_->Detach();
-  stream_.reset();
-  const auto handler = std::exchange(handler_, nullptr);
+  exchange->stream->Detach();
+  const auto handler = std::exchange(exchange->handler, nullptr);
   if (handler && code != ResultCode::kOk) handler->OnReset(code);
 }
 
+void Http1ServerConnection::DropAll(ResultCode code) {
+  reading_.reset();
+  for (const ExchangePtr& exchange : std::exchange(exchanges_, {})) Drop(exchange, code);
+}
+
 void Http1ServerConnection::Abort(ResultCode code) {
-  DropStream(code);
-  if (head_sent_ && writer_.until_close()) {
+  const bool until_close = !exchanges_.empty() && exchanges_.front()->head_sent &&
+                           exchanges_.front()->writer.until_close();
+  DropAll(code);
+  if (until_close) {
     // Only a broken connection tells this caller that the answer was cut.
     boost::system::error_code ec;
     socket().set_option(boost::asio::socket_base::linger(true, 0), ec);
@@ -230,29 +300,30 @@
 }
 
 void Http1ServerConnection::ReadEnded(bool in_order) {
-  const bool whole_request = state_ == State::kExchange && request_done_;
-  if (!in_order || !(whole_request || state_ == State::kRefused)) {
+  const bool served = state_ == State::kOpen && !exchanges_.empty() && !reading_ &&
+                      !host_->options().half_close_cancels;
+  if (!in_order || !(served || state_ == State::kRefused)) {
     return Abort(ResultCode::kConnectionLost);
   }
-  // A caller that ended its side after the whole request still reads the answer.
-  close_after_ = true;
+  // A caller that ended its side after whole requests still reads the answers.
+  closing_ = true;
   WatchBreak();
 }
 
 void Http1ServerConnection::WriteFailed() { Abort(ResultCode::kConnectionLost); }
 
 void Http1ServerConnection::DeadlinePassed() {
-  if (state_ == State::kHead && parser_->head_begun()) {
-    return Refuse(ResultCode::kRequestTimeout);
-  }
-  if (state_ == State::kHead && host_->draining()) return Linger();
-  if (state_ == State::kExchange && !request_done_ && !output_pending()) {
-    return Refuse(ResultCode::kRequestTimeout);
+  if (state_ == State::kOpen && !output_pending()) {
+    const bool head_begun = exchanges_.empty() && parser_->head_begun();
+    const bool body_stalls = reading_ != nullptr;
+    if (head_begun || body_stalls) return RefuseRequest(ResultCode::kRequestTimeout);
+    if (exchanges_.empty() && closing_) return Linger();
   }
   Abort(ResultCode::kConnectionLost);
 }
 
 void Http1ServerConnection::Linger() {
+  DropAll(ResultCode::kConnectionLost);
   if (read_ended()) return Close();
   state_ = State::kLingering;
   ShutdownSend();
--- a/src/plugins/http1_beast/http1_transport.cc
+++ b/src/plugins/http1_beast/http1_transport.cc
@@ -17,6 +17,8 @@
   options.head_timeout = limits.head_timeout.value_or(options.head_timeout);
   options.max_accepted_connections =
       limits.max_accepted_connections.value_or(options.max_accepted_connections);
+  options.half_close_cancels =
+      limits.half_close_cancels.value_or(options.half_close_cancels);
   return std::make_unique<Http1Transport>(WorkerPool::Of(runtime), options);
 }
 
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -1,4 +1,6 @@
-#include <future>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
 
 #include <gtest/gtest.h>
 
@@ -33,20 +35,26 @@
           if (path == "/unknown") return nullptr;
           Accepted accepted{path, std::move(stream)};
           auto handler = accepted.handler;
-          accepted_.set_value(std::move(accepted));
+          const std::lock_guard<std::mutex> lock(mutex_);
+          accepted_.push_back(std::move(accepted));
+          changed_.notify_all();
           return handler;
         });
   }
   ~Http1ServerTest() override { workers_.Stop(); }
 
   Accepted WaitAccepted() {
-    Accepted accepted = accepted_.get_future().get();
-    accepted_ = {};
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [this] { return !accepted_.empty(); });
+    Accepted accepted = std::move(accepted_.front());
+    accepted_.pop_front();
     return accepted;
   }
 
   std::atomic<int> requests_{0};
-  std::promise<Accepted> accepted_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<Accepted> accepted_;
   WorkerPool workers_{2};
   Http1Transport server_{&workers_, Options()};
   Endpoint endpoint_;
@@ -96,6 +104,84 @@
             "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
 }
 
+TEST_F(Http1ServerTest, PipelinedReadsAreServedTogetherAndAnsweredInOrder) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+  Accepted first = WaitAccepted();
+  Accepted second = WaitAccepted();
+  second.stream->SendHeaders({{":status", "200"}, {"content-length", "1"}}, false);
+  second.stream->SendData("2", true);
+  first.stream->SendHeaders({{":status", "200"}, {"content-length", "1"}}, false);
+  first.stream->SendData("1", true);
+  EXPECT_EQ(caller.ReadAll(),
+            "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1"
+            "HTTP/1.1 200 OK\r\ncontent-length: 1\r\nconnection: close\r\n\r\n2");
+}
+
+// A caller sends a request again that stood behind a closing answer, whatever its kind.
+TEST_F(Http1ServerTest, PipelinedWriteWaitsForTheAnswersBeforeIt) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n");
+  Accepted first = WaitAccepted();
+  first.handler->WaitEnd();
+  EXPECT_EQ(requests_, 1);
+  first.stream->SendHeaders({{":status", "204"}, {"connection", "close"}}, true);
+  EXPECT_EQ(caller.ReadAll(),
+            "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
+  EXPECT_EQ(requests_, 1);
+}
+
+TEST_F(Http1ServerTest, DrainAnswersAllThatWasReadAndClosesAfterTheLast) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nhost: h\r\n\r\n");
+  Accepted first = WaitAccepted();
+  Accepted second = WaitAccepted();
+  server_.PrepareDrain();
+  first.stream->SendHeaders({{":status", "204"}}, true);
+  second.stream->SendHeaders({{":status", "204"}}, true);
+  EXPECT_EQ(caller.ReadAll(),
+            "HTTP/1.1 204 No Content\r\n\r\n"
+            "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
+}
+
+TEST_F(Http1ServerTest, MalformedRequestIsRefusedAfterTheAnswersBeforeIt) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nhost h\r\n\r\n");
+  Accepted first = WaitAccepted();
+  first.stream->SendHeaders({{":status", "204"}}, true);
+  const std::string all = caller.ReadAll();
+  EXPECT_EQ(all.find("HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 400 "), 0U) << all;
+}
+
+TEST(Http1HalfCloseTest, CallerThatEndsItsSideIsGoneWhereSettingsSaySo) {
+  WorkerPool workers{2};
+  Http1Options options;
+  options.half_close_cancels = true;
+  Http1Transport server{&workers, options};
+  const auto handler = std::make_shared<RecordingHandler>();
+  std::shared_ptr<Stream> kept;
+  const Endpoint endpoint = server.Listen(
+      {"127.0.0.1", 0}, [&](const std::string&, const StreamHeaders&,
+                            std::shared_ptr<Stream> stream) {
+        kept = std::move(stream);
+        return handler;
+      });
+  RawCaller caller(endpoint);
+  caller.Send("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+  handler->WaitEnd();
+  caller.EndSending();
+  EXPECT_EQ(handler->WaitReset(), ResultCode::kConnectionLost);
+  workers.Stop();
+}
+
 TEST_F(Http1ServerTest, AnswerShorterThanStatedIsCut) {
   RawCaller caller(endpoint_);
   caller.Send("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
