Calls: requests ask for a free slot before they wait where the wait is the shortest

Change: an attempt is refused at once where it would wait; after four such refusals it waits at the instance with the shortest expected wait, or is refused when it could not meet its objective there. Waits are estimated by kind of work. Retry-After grows with the share of requests refused lately. Old load reports fade at the server's pace.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -10,12 +10,12 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 constexpr double kSlowStartFloor = 0.1;
-constexpr int kAverageWeight = 8;
 
 /// Larger is shed earlier: low priority first, idempotent before the others, and at equal
 /// rank the one with the most time left, since its caller can best come back.
 auto ShedRank(const AdmissionRequest& request) {
-  return std::make_tuple(request.priority, request.idempotent, request.deadline);
+  return std::make_tuple(request.priority, request.idempotent,
+                         request.objective.value_or(request.deadline));
 }
 
 bool ShedBefore(const AdmissionRequest& a, const AdmissionRequest& b) {
@@ -43,8 +43,12 @@
     ++outstanding_;
     return {{request.id, ResultCode::kOk, {}}};
   }
-  if (!CanFinish(request, EstimateWait(queue_.size(), now), now)) {
-    return {Refuse(request.id, ResultCode::kShed, now)};
+  const Duration wait = WaitOf(request, now);
+  if (request.max_wait && wait > *request.max_wait) {
+    return {{request.id, ResultCode::kServerFull, wait}};
+  }
+  if (!CanFinish(request, wait, now) || !MeetsObjective(request, wait, now)) {
+    return {{request.id, ResultCode::kShed, std::max(wait, kMinRetryAfter)}};
   }
   Verdicts verdicts;
   if (queue_.size() >= QueueLimit()) {
@@ -59,14 +63,11 @@
   return verdicts;
 }
 
-AdmissionControl::Verdicts AdmissionControl::Finish(Duration service_time,
+AdmissionControl::Verdicts AdmissionControl::Finish(const std::string& work,
+                                                    Duration service_time,
                                                     SteadyTime now) {
   if (outstanding_ > 0) --outstanding_;
-  if (service_time > Duration::zero()) {
-    service_time_ = service_time_ == Duration::zero()
-                        ? service_time
-                        : service_time_ + (service_time - service_time_) / kAverageWeight;
-  }
+  if (service_time > Duration::zero()) times_.Note(work, service_time);
   Verdicts verdicts;
   AdmitWaiting(now, &verdicts);
   return verdicts;
@@ -87,7 +88,7 @@
   report.outstanding = outstanding_;
   report.queued = static_cast<std::uint32_t>(queue_.size());
   report.slots = RefusalByState() == ResultCode::kOk ? EffectiveSlots(now) : 0;
-  report.service_time = service_time_;
+  report.service_time = times_.mean();
   return report;
 }
 
@@ -116,18 +117,37 @@
   return ResultCode::kOk;
 }
 
-Duration AdmissionControl::EstimateWait(std::size_t ahead, SteadyTime now) const {
+Duration AdmissionControl::WaitOf(const AdmissionRequest& request, SteadyTime now) const {
+  Duration ahead{};
+  for (const AdmissionRequest& waiting : queue_) {
+    if (!ShedBefore(waiting, request)) ahead += times_.Expected(waiting.work);
+  }
+  return EstimateWait(ahead, now);
+}
+
+/// A slot becomes free after a mean service time over the number of slots, and again for
+/// each request that goes before.
+Duration AdmissionControl::EstimateWait(Duration work_ahead, SteadyTime now) const {
   const std::uint32_t slots = std::max<std::uint32_t>(1, EffectiveSlots(now));
-  return service_time_ * static_cast<Duration::rep>(ahead + 1) / slots;
+  return (work_ahead + times_.mean()) / slots;
 }
 
 bool AdmissionControl::CanFinish(const AdmissionRequest& request, Duration wait,
                                  SteadyTime now) const {
-  return request.deadline > now && request.deadline - now >= wait + service_time_;
+  return request.deadline > now &&
+         request.deadline - now >= wait + times_.Expected(request.work);
+}
+
+bool AdmissionControl::MeetsObjective(const AdmissionRequest& request, Duration wait,
+                                      SteadyTime now) const {
+  return !request.objective ||
+         *request.objective - now >= wait + times_.Expected(request.work);
 }
 
 Duration AdmissionControl::RetryAfter(SteadyTime now) const {
-  return std::clamp(EstimateWait(queue_.size(), now), kMinRetryAfter, kMaxRetryAfter);
+  Duration ahead{};
+  for (const AdmissionRequest& waiting : queue_) ahead += times_.Expected(waiting.work);
+  return std::clamp(EstimateWait(ahead, now), kMinRetryAfter, kMaxRetryAfter);
 }
 
 AdmissionVerdict AdmissionControl::Refuse(std::uint64_t id, ResultCode code,
@@ -145,7 +165,9 @@
   while (!queue_.empty() && outstanding_ < EffectiveSlots(now)) {
     const AdmissionRequest next = queue_.back();
     queue_.pop_back();
-    if (!CanFinish(next, Duration::zero(), now)) {
+    // A late answer is worth little: the slot goes to one that is still in time.
+    const bool in_time = MeetsObjective(next, Duration::zero(), now) || queue_.empty();
+    if (!in_time || !CanFinish(next, Duration::zero(), now)) {
       verdicts->push_back(Refuse(next.id, ResultCode::kShed, now));
       continue;
     }
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -2,12 +2,14 @@
 #define QUETZAL_CALLS_ADMISSION_CONTROL_H_
 
 #include <cstdint>
-#include <unordered_map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/result_code.h"
 #include "calls/call_headers.h"
+#include "calls/service_times.h"
 #include "membership.pb.h"
 
 namespace quetzal {
@@ -26,17 +28,20 @@
   bool idempotent = true;
   std::uint32_t priority = 0;  ///< 0 is shed last.
   SteadyTime deadline;
+  std::optional<SteadyTime> objective;  ///< A later answer is worth little.
+  std::optional<Duration> max_wait;     ///< An expected wait beyond it is refused.
+  std::string work;                     ///< Kind of work, for the time it takes.
 };
 
 /// Decision on one request: kOk admits it, any other code refuses it (not run).
 struct AdmissionVerdict {
   std::uint64_t id = 0;
   ResultCode code = ResultCode::kOk;
-  Duration retry_after{};
+  Duration retry_after{};  ///< Expected wait for a slot.
 };
 
 /// Decides which requests go to the backend server: slots, a bounded queue in order of
-/// priority and deadline, and shedding of what cannot finish in time. Holds no clock and
+/// priority and urgency, and shedding of what cannot finish in time. Holds no clock and
 /// no lock.
 class AdmissionControl {
  public:
@@ -50,7 +55,10 @@
 
   /// An admitted request ended. `service_time` is zero when it tells nothing about the
   /// speed of the server (it was cancelled or failed).
-  Verdicts Finish(Duration service_time, SteadyTime now);
+  Verdicts Finish(const std::string& work, Duration service_time, SteadyTime now);
+  Verdicts Finish(Duration service_time, SteadyTime now) {
+    return Finish("", service_time, now);
+  }
 
   /// A waiting request went away. False when it was not waiting.
   bool Cancel(std::uint64_t id);
@@ -62,6 +70,7 @@
 
   /// When a request that is refused now would find a free slot.
   Duration RetryAfter(SteadyTime now) const;
+
   std::uint32_t outstanding() const { return outstanding_; }
   std::size_t queued() const { return queue_.size(); }
 
@@ -69,8 +78,13 @@
   std::uint32_t EffectiveSlots(SteadyTime now) const;
   std::size_t QueueLimit() const;
   ResultCode RefusalByState() const;
-  Duration EstimateWait(std::size_t ahead, SteadyTime now) const;
+
+  /// Expected wait behind the part of the queue that goes before `request`.
+  Duration WaitOf(const AdmissionRequest& request, SteadyTime now) const;
+  Duration EstimateWait(Duration work_ahead, SteadyTime now) const;
   bool CanFinish(const AdmissionRequest& request, Duration wait, SteadyTime now) const;
+  bool MeetsObjective(const AdmissionRequest& request, Duration wait,
+                      SteadyTime now) const;
   AdmissionVerdict Refuse(std::uint64_t id, ResultCode code, SteadyTime now) const;
   void Enqueue(const AdmissionRequest& request);
   void AdmitWaiting(SteadyTime now, Verdicts* verdicts);
@@ -80,7 +94,7 @@
   SteadyTime up_since_;
   bool stopped_ = false;
   std::uint32_t outstanding_ = 0;
-  Duration service_time_{};              ///< Moving average; zero: none seen.
+  ServiceTimes times_;
   std::vector<AdmissionRequest> queue_;  ///< The next to be admitted stands last.
 };
 
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -98,6 +98,9 @@
   request.idempotent = head_.idempotent;
   request.priority = head_.priority;
   request.deadline = deadline_;
+  if (head_.objective) request.objective = context_->Now() + *head_.objective;
+  request.max_wait = head_.max_wait;
+  request.work = head_.route;
   admission_id_ = context_->gate.Offer(
       request, [call = shared_from_this()](const AdmissionVerdict& verdict) {
         call->queue_.Run([call, verdict] { call->OnVerdict(verdict); });
@@ -345,7 +348,8 @@
 void BackendCall::ReleaseSlot(bool answered) {
   if (!holds_slot_) return;
   holds_slot_ = false;
-  context_->gate.Finish(answered ? context_->Now() - sent_at_ : Duration::zero());
+  context_->gate.Finish(head_.route,
+                        answered ? context_->Now() - sent_at_ : Duration::zero());
 }
 
 void BackendCall::Over() {
--- a/src/libquetzal/calls/backend_gate.cc
+++ b/src/libquetzal/calls/backend_gate.cc
@@ -23,11 +23,11 @@
   return request.id;
 }
 
-void BackendGate::Finish(Duration service_time) {
+void BackendGate::Finish(const std::string& work, Duration service_time) {
   Decisions decisions;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    decisions = TakeLocked(control_.Finish(service_time, clock_->Now()));
+    decisions = TakeLocked(control_.Finish(work, service_time, clock_->Now()));
   }
   Tell(decisions);
 }
--- a/src/libquetzal/calls/backend_gate.h
+++ b/src/libquetzal/calls/backend_gate.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -27,7 +28,7 @@
   std::uint64_t Offer(AdmissionRequest request, Decided decided);
 
   /// An admitted request ended; see AdmissionControl::Finish.
-  void Finish(Duration service_time);
+  void Finish(const std::string& work, Duration service_time);
 
   /// True when the request was still waiting; it has no verdict then.
   bool Cancel(std::uint64_t id);
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -14,6 +14,7 @@
 #include "calls/drain_gate.h"
 #include "calls/load_table.h"
 #include "calls/local_stream.h"
+#include "calls/refusal_rates.h"
 #include "calls/retry_budgets.h"
 #include "calls/route_matcher.h"
 
@@ -47,6 +48,7 @@
   const CallOptions options;
   LoadTable loads;
   RetryBudgets budgets;
+  RefusalRates refusals;
   AttemptTable attempts;
   BackendGate gate;
   DrainGate drain;
--- a/src/libquetzal/calls/call_headers.cc
+++ b/src/libquetzal/calls/call_headers.cc
@@ -19,6 +19,9 @@
 constexpr char kPriorityField[] = "x-qz-priority";
 constexpr char kCallerServiceField[] = "x-qz-caller-service";
 constexpr char kRemainingField[] = "x-qz-remaining-ns";
+constexpr char kRouteField[] = "x-qz-route";
+constexpr char kObjectiveField[] = "x-qz-objective-us";
+constexpr char kMaxWaitField[] = "x-qz-max-wait-us";
 constexpr char kHopsField[] = "x-qz-hops";
 constexpr char kViaField[] = "x-qz-via";
 constexpr char kLoadField[] = "x-qz-load";
@@ -51,6 +54,19 @@
   return !Contains(kHopByHop, name) && !Contains(kRewritten, name);
 }
 
+std::optional<Duration> ParseMicros(std::string_view text) {
+  const auto micros = ParseNumber(text, kMaxRemainingNs / 1000);
+  if (!micros) return std::nullopt;
+  return std::chrono::microseconds(*micros);
+}
+
+void AppendMicros(const char* name, const std::optional<Duration>& time,
+                  StreamHeaders* headers) {
+  if (!time) return;
+  const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(*time);
+  headers->emplace_back(name, std::to_string(std::max<std::int64_t>(0, micros.count())));
+}
+
 /// Numbers separated by ';'.
 template <std::size_t kSize>
 std::optional<std::array<std::uint64_t, kSize>> ParseList(std::string_view text) {
@@ -102,7 +118,7 @@
 
 StreamHeaders EncodeCall(const CallHead& head, const StreamHeaders& fields) {
   StreamHeaders headers;
-  headers.reserve(fields.size() + 15);
+  headers.reserve(fields.size() + 18);
   headers.emplace_back(":method", "POST");
   headers.emplace_back(kMethodField, head.method);
   headers.emplace_back(kPathField, head.path);
@@ -116,6 +132,9 @@
   if (!head.caller_service.empty()) {
     headers.emplace_back(kCallerServiceField, head.caller_service);
   }
+  if (!head.route.empty()) headers.emplace_back(kRouteField, head.route);
+  AppendMicros(kObjectiveField, head.objective, &headers);
+  AppendMicros(kMaxWaitField, head.max_wait, &headers);
   if (!head.attempt_id.empty()) {
     headers.emplace_back(kAttemptField, head.attempt_id);
     headers.emplace_back(kIncarnationField, std::to_string(head.incarnation));
@@ -133,6 +152,9 @@
   head.via = HeaderValue(headers, kViaField);
   head.caller_service = HeaderValue(headers, kCallerServiceField);
   head.attempt_id = HeaderValue(headers, kAttemptField);
+  head.route = HeaderValue(headers, kRouteField);
+  head.objective = ParseMicros(HeaderValue(headers, kObjectiveField));
+  head.max_wait = ParseMicros(HeaderValue(headers, kMaxWaitField));
   head.idempotent = HeaderValue(headers, kIdempotentField) == "1";
   const auto priority = ParseNumber(HeaderValue(headers, kPriorityField), kMaxCount);
   const auto remaining =
--- a/src/libquetzal/calls/call_headers.h
+++ b/src/libquetzal/calls/call_headers.h
@@ -35,8 +35,11 @@
   std::uint64_t incarnation = 0;  ///< Of the admitting node; counts with an attempt id.
   bool idempotent = true;
   std::uint32_t priority = 0;
-  Duration remaining{};        ///< Until the deadline.
-  std::string caller_service;  ///< Of the instance at which the request began.
+  Duration remaining{};               ///< Until the deadline.
+  std::string caller_service;         ///< Of the instance at which the request began.
+  std::string route;                  ///< Names the kind of work.
+  std::optional<Duration> objective;  ///< Until an answer is worth little.
+  std::optional<Duration> max_wait;   ///< Expected wait beyond which it is refused.
   int hops = 0;
   std::string via;
 };
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -22,6 +22,10 @@
 /// the deadline passed.
 constexpr Duration kOutcomeGrace = std::chrono::seconds(30);
 
+bool IsForWantOfRoom(ResultCode code) {
+  return code == ResultCode::kServerFull || code == ResultCode::kShed;
+}
+
 }  // namespace
 
 std::shared_ptr<StreamHandler> CallerCall::Accept(
@@ -87,6 +91,7 @@
     return Refuse({code, true, starting ? kRetryAfter : Duration::zero()});
   }
   const auto timeout = std::chrono::milliseconds(route_->timeout_ms());
+  asks_for_slot_ = route_->objective_ms() > 0;
   StartDeadline(std::min(
       terms_.remaining.value_or(kLongestWait),
       route_->timeout_ms() == 0 ? context_->options.default_timeout : Duration(timeout)));
@@ -130,7 +135,8 @@
 }
 
 void CallerCall::StartDeadline(Duration timeout) {
-  deadline_ = context_->Now() + timeout;
+  started_ = context_->Now();
+  deadline_ = started_ + timeout;
   timer_ = context_->deps.executor->After(timeout, [weak = weak_from_this()] {
     auto call = weak.lock();
     if (call) call->queue_.Run([call] { call->DeadlinePassed(); });
@@ -223,9 +229,15 @@
     return Over();
   }
   if (!answer_.told()) ++context_->refused;
-  answer_.TellRefusal(refusal, context_->drain.draining());
+  Refusal told = refusal;
+  if (IsForWantOfRoom(refusal.code)) {
+    const SteadyTime now = context_->Now();
+    context_->refusals.Note(service_, true, now);
+    told.retry_after = context_->refusals.RetryAfter(service_, refusal.retry_after, now);
+  }
+  answer_.TellRefusal(told, context_->drain.draining());
   if (guard_) EmitOutcome(refusal.code);
-  EmitRefused(refusal);
+  EmitRefused(told);
   Over();
 }
 
@@ -245,6 +257,11 @@
   event.fields.emplace_back("request", terms_.request_id);
   event.fields.emplace_back("code", InfoOf(refusal.code).name);
   event.fields.emplace_back("not_run", refusal.not_run ? "true" : "false");
+  event.fields.emplace_back(
+      "retry_after_ms",
+      std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(refusal.retry_after)
+              .count()));
   event.fields.emplace_back("route", route_ == nullptr ? "" : route_->name());
   event.fields.emplace_back("service", service_);
   event.fields.emplace_back("attempts", std::to_string(attempts_));
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -57,7 +57,9 @@
   void NextAttempt();
   void RefreshRoute();
   bool HasUntriedInstance();
+  const BackendTarget* NextTarget();
   const BackendTarget* ChooseTarget();
+  const BackendTarget* ShortestWait();
   void OpenAttempt();
   CallHead MakeHead() const;
   void EndAttempt(AttemptEnd end);
@@ -122,6 +124,15 @@
   std::uint32_t servers_reached_ = 0;  ///< Backend servers that have seen the request.
   std::vector<std::string> tried_;
   Refusal last_refusal_;
+
+  /// An instance that had no free slot when it was asked for one.
+  struct FullInstance {
+    std::string instance;
+    Duration wait{};  ///< Expected until one is free.
+  };
+  bool asks_for_slot_ = false;  ///< Attempts are refused where they would wait.
+  std::vector<FullInstance> full_;
+  SteadyTime started_;
   std::shared_ptr<KeyGuard> guard_;  ///< Of a non-idempotent request.
 };
 
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -9,6 +9,12 @@
 namespace {
 
 constexpr int kMaxAttempts = 4;
+
+/// Instances that are asked for a free slot before the request waits at one of them.
+constexpr std::size_t kSlotQuestions = 4;
+
+/// Instances at which the request may wait after each other.
+constexpr int kMaxAttemptsWithQuestions = 8;
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
 /// Redirects that say nothing about load; they are not paid from the retry budget.
@@ -58,7 +64,7 @@
 
 void CallerCall::NextAttempt() {
   if (deadline_passed_ || caller_gone_) return StopWaiting();
-  target_ = ChooseTarget();
+  target_ = NextTarget();
   if (target_ == nullptr) {
     const bool told_why = last_refusal_.code != ResultCode::kOk;
     return Refuse(told_why ? last_refusal_
@@ -94,6 +100,36 @@
   });
 }
 
+/// Asks a few instances for a free slot; when there is none, the request waits where the
+/// wait is the shortest.
+const BackendTarget* CallerCall::NextTarget() {
+  if (!asks_for_slot_) return full_.empty() ? ChooseTarget() : ShortestWait();
+  if (full_.size() < kSlotQuestions) {
+    if (const BackendTarget* target = ChooseTarget()) return target;
+  }
+  asks_for_slot_ = false;
+  return full_.empty() ? nullptr : ShortestWait();
+}
+
+/// Null when no instance that was asked can answer within the objective.
+const BackendTarget* CallerCall::ShortestWait() {
+  RefreshRoute();
+  const auto shortest =
+      std::min_element(full_.begin(), full_.end(),
+                       [](const auto& a, const auto& b) { return a.wait < b.wait; });
+  const FullInstance full = *shortest;
+  full_.erase(shortest);
+  last_refusal_ = {ResultCode::kServerFull, true, full.wait};
+  const Duration objective = std::chrono::milliseconds(route_->objective_ms());
+  if (context_->Now() + full.wait > started_ + objective) return nullptr;
+  for (const BackendTarget* target : matcher_->Targets(service_)) {
+    if (target->instance != full.instance || target->state != SERVER_UP) continue;
+    context_->loads.Begin(*target);
+    return target;
+  }
+  return nullptr;
+}
+
 const BackendTarget* CallerCall::ChooseTarget() {
   RefreshRoute();
   const Configuration& configuration = *matcher_->snapshot().configuration;
@@ -129,6 +165,13 @@
   head.service = service_;
   head.idempotent = route_->idempotent();
   head.caller_service = context_->options.service;
+  head.route = route_->name();
+  if (route_->objective_ms() > 0) {
+    const SteadyTime objective =
+        started_ + std::chrono::milliseconds(route_->objective_ms());
+    head.objective = std::max(Duration::zero(), objective - context_->Now());
+  }
+  if (asks_for_slot_) head.max_wait = Duration::zero();
   head.priority = route_->priority();
   head.remaining = std::max(Duration::zero(), deadline_ - context_->Now());
   head.hops = hops_;
@@ -148,7 +191,8 @@
 }
 
 bool CallerCall::MayRetry(bool is_paid) {
-  if (!body_.replayable() || attempts_ >= kMaxAttempts || answer_.told()) return false;
+  const int most = route_->objective_ms() > 0 ? kMaxAttemptsWithQuestions : kMaxAttempts;
+  if (!body_.replayable() || attempts_ >= most || answer_.told()) return false;
   if (route_->attempts() > 0 && servers_reached_ >= route_->attempts()) return false;
   return !is_paid || (HasUntriedInstance() && context_->budgets.Spend(service_));
 }
@@ -199,6 +243,7 @@
   }
   answer_.End();
   ++context_->answered;
+  context_->refusals.Note(service_, false, context_->Now());
   if (!guard_) return Over();
   EmitOutcome(ResultCode::kOk);
   phase_ = Phase::kRecord;
@@ -209,6 +254,11 @@
   if (!body_.ended()) attempt_->Reset();
   const bool failed = !refusal.not_run || refusal.code == ResultCode::kConnectFailed;
   EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kRefused);
+  if (asks_for_slot_ && refusal.code == ResultCode::kServerFull &&
+      !refusal.reached_server && body_.replayable()) {
+    full_.push_back({tried_.back(), refusal.retry_after});
+    return NextAttempt();
+  }
   if (!guard_) return RetryOrRefuse(refusal);
   last_refusal_ = refusal;
   phase_ = Phase::kOutcome;
--- a/src/libquetzal/calls/load_table.cc
+++ b/src/libquetzal/calls/load_table.cc
@@ -1,6 +1,7 @@
 #include "calls/load_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_set>
 #include <utility>
 
@@ -14,11 +15,25 @@
 constexpr Duration kReportAge = std::chrono::seconds(10);
 constexpr double kSlowStartFloor = 0.1;
 
+/// Part of a server's slots that is taken as used when nothing newer is known.
+constexpr double kUsualUse = 0.7;
+constexpr Duration kShortestPace = std::chrono::milliseconds(50);
+
 Duration EjectionTime(int ejections) {
   const int shift = std::min(ejections - 1, 5);
   return std::min(kMaxEjection, kEjection * (1 << shift));
 }
 
+/// What is left of the work `others` after `age`, which ends at the pace of the server.
+/// With time the report tells less, and the server counts as used like most.
+double Aged(double others, double capacity, Duration service_time, Duration age) {
+  const Duration pace = std::max(kShortestPace, service_time);
+  const double kept =
+      std::exp(-static_cast<double>(age.count()) / static_cast<double>(pace.count()));
+  const double usual = std::min(others, kUsualUse * capacity);
+  return usual + (others - usual) * kept;
+}
+
 bool Contains(const std::vector<std::string>& list, const std::string& name) {
   return std::find(list.begin(), list.end(), name) != list.end();
 }
@@ -44,6 +59,11 @@
   return chosen;
 }
 
+void LoadTable::Begin(const BackendTarget& target) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++EntryLocked(target, clock_->Now()).outstanding;
+}
+
 void LoadTable::Report(const BackendTarget& target, const LoadReport& report) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const SteadyTime now = clock_->Now();
@@ -150,8 +170,9 @@
     // What others have there is as old as the report; the own part is current.
     const double total = entry.report.outstanding + entry.report.queued;
     const double others = std::max(0.0, total - entry.own_at_report);
-    load.outstanding += others;
     load.capacity = std::max<double>(0.1, entry.report.slots);
+    load.outstanding +=
+        Aged(others, load.capacity, entry.report.service_time, now - entry.reported_at);
     load.service_ms =
         std::chrono::duration<double, std::milli>(entry.report.service_time).count();
   }
--- a/src/libquetzal/calls/load_table.h
+++ b/src/libquetzal/calls/load_table.h
@@ -43,6 +43,9 @@
   const BackendTarget* Choose(const std::vector<const BackendTarget*>& targets,
                               const ChoiceOptions& options);
 
+  /// Counts an attempt as outstanding at a target that was chosen otherwise.
+  void Begin(const BackendTarget& target);
+
   /// The admitting node reported its load.
   void Report(const BackendTarget& target, const LoadReport& report);
 
