--- a/src/libquetzal/calls/answer_relay.cc
+++ b/src/libquetzal/calls/answer_relay.cc
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::size_t kHighMarkBytes = std::size_t{64} * 1024;
-constexpr std::string_view kUnavailableStatus = "503";
 constexpr char kReplayedHeader[] = "x-quetzal-replayed";
 
 }  // namespace
@@ -21,7 +20,7 @@
     length_ = ParseNumber(HeaderValue(headers, "content-length"), UINT64_MAX);
   }
   server_error_ = IsServerError(status);
-  unavailable_ = status == kUnavailableStatus;
+  unavailable_ = status == "500" || status == "502" || status == "503";
   headers_ = EndToEndFields(headers);
   keeping_ = keep;
   if (keep) {
--- a/src/libquetzal/calls/answer_relay.h
+++ b/src/libquetzal/calls/answer_relay.h
@@ -61,7 +61,8 @@
   /// True when the answer that began last has a status of 500 and above.
   bool server_error() const { return server_error_; }
 
-  /// True when the answer that began last has the status 503.
+  /// True when the answer that began last is an error that another backend server may
+  /// not make: 500, 502 or 503.
   bool unavailable() const { return unavailable_; }
 
   /// The whole answer for a resend; `dropped` when it was too long.
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -311,7 +311,10 @@
   EndAttempt(not_sent ? AttemptState::kNotRun : AttemptState::kUnknown);
   ReleaseSlot(false);
   reached_server_ = !not_sent;
-  if (not_sent) return Refuse(ResultCode::kConnectFailed, true, {});
+  if (not_sent) {
+    if (context_->deps.on_backend_unreachable) context_->deps.on_backend_unreachable();
+    return Refuse(ResultCode::kConnectFailed, true, {});
+  }
   if (!answering) {
     return Refuse(head_.idempotent ? ResultCode::kAnswerCut : ResultCode::kOutcomeUnknown,
                   false, {});
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -59,6 +59,9 @@
   const Clock* clock = nullptr;
   Random* random = nullptr;  ///< Used by the CallPath alone.
   EventLog* events = nullptr;
+
+  /// Called when the own backend server refused a connection; may be null.
+  std::function<void()> on_backend_unreachable;
 };
 
 /// The backend server of this node, as it announced itself.
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -253,7 +253,9 @@
 void CallerCall::AttemptRefused(const Refusal& refusal) {
   if (!body_.ended()) attempt_->Reset();
   const bool failed = !refusal.not_run || refusal.code == ResultCode::kConnectFailed;
-  EndAttempt(failed ? AttemptEnd::kFailed : AttemptEnd::kRefused);
+  EndAttempt(failed                   ? AttemptEnd::kFailed
+             : refusal.reached_server ? AttemptEnd::kTurnedAway
+                                      : AttemptEnd::kRefused);
   if (asks_for_slot_ && refusal.code == ResultCode::kServerFull &&
       !refusal.reached_server && body_.replayable()) {
     full_.push_back({tried_.back(), refusal.retry_after});
--- a/src/libquetzal/calls/load_table.cc
+++ b/src/libquetzal/calls/load_table.cc
@@ -15,6 +15,15 @@
 constexpr Duration kReportAge = std::chrono::seconds(10);
 constexpr double kSlowStartFloor = 0.1;
 
+/// Part that one more attempt has in the average success of a server.
+constexpr double kSuccessWeight = 0.1;
+constexpr double kSuccessFloor = 0.05;
+
+/// Silence of an instance with attempts outstanding after which others are chosen: this,
+/// and some service times.
+constexpr Duration kStallAfter = std::chrono::milliseconds(300);
+constexpr int kStallServiceTimes = 4;
+
 /// Part of a server's slots that is taken as used when nothing newer is known.
 constexpr double kUsualUse = 0.7;
 constexpr Duration kShortestPace = std::chrono::milliseconds(50);
@@ -55,13 +64,19 @@
   TargetSelector* selector =
       SelectorLocked(candidates.front()->service, options.load_policy);
   const BackendTarget* chosen = candidates[selector->Select(loads, random_)];
-  ++EntryLocked(*chosen, now).outstanding;
+  CountLocked(*chosen, now);
   return chosen;
 }
 
 void LoadTable::Begin(const BackendTarget& target) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  ++EntryLocked(target, clock_->Now()).outstanding;
+  CountLocked(target, clock_->Now());
+}
+
+void LoadTable::CountLocked(const BackendTarget& target, SteadyTime now) {
+  Entry& entry = EntryLocked(target, now);
+  if (entry.outstanding == 0) entry.waiting_since = now;
+  ++entry.outstanding;
 }
 
 void LoadTable::Report(const BackendTarget& target, const LoadReport& report) {
@@ -73,6 +88,7 @@
   entry.reported = true;
   entry.own_at_report = entry.outstanding;
   entry.reported_at = now;
+  entry.waiting_since = now;
 }
 
 void LoadTable::End(const BackendTarget& target, AttemptEnd end) {
@@ -83,6 +99,10 @@
   Entry& entry = it->second;
   if (entry.outstanding > 0) --entry.outstanding;
   if (end == AttemptEnd::kAbandoned) return;
+  const bool well = end == AttemptEnd::kAnswered || end == AttemptEnd::kRefused;
+  entry.success += ((well ? 1.0 : 0.0) - entry.success) * kSuccessWeight;
+  if (well) entry.waiting_since = now;
+  if (end == AttemptEnd::kTurnedAway) return;
   if (end != AttemptEnd::kFailed) {
     entry.failures = 0;
     if (end == AttemptEnd::kAnswered) entry.ejections = 0;
@@ -154,12 +174,20 @@
                                                    SteadyTime now) {
   Candidates kept;
   for (const BackendTarget* target : usable) {
-    if (now >= EntryLocked(*target, now).ejected_until) kept.push_back(target);
+    const Entry& entry = EntryLocked(*target, now);
+    if (now >= entry.ejected_until && !IsStalled(entry, now)) kept.push_back(target);
   }
   // When more than half would be out, the signal is not worth following.
   return kept.size() * 2 < usable.size() ? usable : kept;
 }
 
+/// A frozen or cut off instance is seen by this long before its connection breaks.
+bool LoadTable::IsStalled(const Entry& entry, SteadyTime now) {
+  const Duration service = entry.reported ? entry.report.service_time : Duration::zero();
+  return entry.outstanding > 0 &&
+         now - entry.waiting_since > kStallAfter + kStallServiceTimes * service;
+}
+
 TargetLoad LoadTable::LoadLocked(const BackendTarget& target, Duration slow_start,
                                  SteadyTime now) {
   const Entry& entry = EntryLocked(target, now);
@@ -176,6 +204,8 @@
     load.service_ms =
         std::chrono::duration<double, std::milli>(entry.report.service_time).count();
   }
+  // What fails is tried again elsewhere, so that a failing server has less to give.
+  load.capacity *= std::max(kSuccessFloor, entry.success * entry.success);
   const Duration age = now - entry.warm_from;
   if (slow_start > Duration::zero() && age < slow_start) {
     const double share =
--- a/src/libquetzal/calls/load_table.h
+++ b/src/libquetzal/calls/load_table.h
@@ -19,9 +19,10 @@
 /// How an attempt ended, as far as the choice of the next ones is concerned.
 enum class AttemptEnd {
   kAnswered,
-  kRefused,    ///< A typed refusal: the node is well, its server takes no more.
-  kFailed,     ///< Not connected, lost, cut or timed out.
-  kAbandoned,  ///< Given up by the caller; tells nothing about the server.
+  kRefused,     ///< A typed refusal: the node is well, its server takes no more.
+  kTurnedAway,  ///< The server itself refused, though its node had a slot for it.
+  kFailed,      ///< Not connected, lost, cut or timed out.
+  kAbandoned,   ///< Given up by the caller; tells nothing about the server.
 };
 
 /// Limits of a choice.
@@ -66,9 +67,11 @@
     bool reported = false;
     std::uint32_t own_at_report = 0;  ///< `outstanding` when the report came.
     SteadyTime reported_at;
-    SteadyTime warm_from;  ///< Start of the slow start.
-    int failures = 0;      ///< In a row.
-    int ejections = 0;     ///< In a row.
+    SteadyTime warm_from;      ///< Start of the slow start.
+    SteadyTime waiting_since;  ///< Last answer, or the attempt that found none waiting.
+    double success = 1;        ///< Moving average of attempts that were answered well.
+    int failures = 0;          ///< In a row.
+    int ejections = 0;         ///< In a row.
     SteadyTime ejected_until;
   };
   using Candidates = std::vector<const BackendTarget*>;
@@ -77,6 +80,8 @@
   Candidates UsableLocked(const Candidates& targets, const ChoiceOptions& options,
                           SteadyTime now);
   Candidates DropEjectedLocked(const Candidates& usable, SteadyTime now);
+  static bool IsStalled(const Entry& entry, SteadyTime now);
+  void CountLocked(const BackendTarget& target, SteadyTime now);
   TargetLoad LoadLocked(const BackendTarget& target, Duration slow_start, SteadyTime now);
   Candidates NearestWithRoomLocked(const Candidates& usable, const ChoiceOptions& options,
                                    SteadyTime now);
--- a/src/libquetzal/node/backend_server_watch.cc
+++ b/src/libquetzal/node/backend_server_watch.cc
@@ -123,6 +123,14 @@
   SetLocked(std::move(server));
 }
 
+void BackendServerWatch::NoteUnreachable() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  if (server_.state != SERVER_UP) return;
+  LocalBackendServer server = server_;
+  server.state = SERVER_DOWN;
+  SetLocked(std::move(server));
+}
+
 void BackendServerWatch::Stop() {
   Leave();
   std::lock_guard<std::mutex> lock(mutex_);
--- a/src/libquetzal/node/backend_server_watch.h
+++ b/src/libquetzal/node/backend_server_watch.h
@@ -46,6 +46,9 @@
   /// The backend server leaves: no new work for it.
   void Leave();
 
+  /// The backend server refused a connection: it counts as down until it is heard of.
+  void NoteUnreachable();
+
   /// Notices that announcements have stopped.
   void Tick();
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -179,6 +179,9 @@
   calls.clock = clock_;
   calls.random = &call_random_;
   calls.events = events_;
+  calls.on_backend_unreachable = [this] {
+    node_executor_->Post([this] { backend_->NoteUnreachable(); });
+  };
   CallOptions options;
   options.instance = instance_;
   options.data_centre = data_centre_;
@@ -325,23 +328,29 @@
   auto left = std::make_shared<std::promise<void>>();
   auto drained_future = drained->get_future();
   auto left_future = left->get_future();
+  if (caller_grace_ > Duration::zero()) {
+    // Callers and the own backend server are served on until the former were told.
+    http_->PrepareDrain();
+    std::this_thread::sleep_for(caller_grace_);
+  }
   backend_->Stop();
   // Peers learn first that no new work is wanted. Callers are still served while their
   // connections close, so that none of them is refused for being at the wrong node.
   spread_->AnnounceLeaving();
-  if (caller_grace_ > Duration::zero()) {
-    http_->PrepareDrain();
-    std::this_thread::sleep_for(caller_grace_);
-  } else {
+  if (caller_grace_ == Duration::zero()) {
     http_->Drain();
     HandOverKeys(limit);
   }
   spread_->Leave([left] { left->set_value(); });
   calls_->Drain([drained] { drained->set_value(); });
   drained_future.wait_until(limit);
-  left_future.wait_until(limit);
-  // Until now callers who came late were told at once to come back.
-  if (caller_grace_ > Duration::zero()) http_->Drain();
+  if (caller_grace_ == Duration::zero()) {
+    left_future.wait_until(limit);
+  } else {
+    // Until now callers who came late were told at once to come back. A node that starts
+    // again soon does not wait until everybody has heard of its leaving.
+    http_->Drain();
+  }
   streams_->Drain();
   // Answers given to the sockets may still be on their way out.
   const SteadyTime flush_limit = std::min(clock_->Now() + kFlushLimit, limit);
--- a/src/plugins/stream_nghttp2/http2_connection.cc
+++ b/src/plugins/stream_nghttp2/http2_connection.cc
@@ -18,7 +18,7 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-constexpr std::chrono::seconds kTickPeriod{1};
+constexpr std::chrono::milliseconds kTickPeriod{500};
 constexpr std::chrono::seconds kLinger{1};
 constexpr int kAcceptedIdleFactor = 4;
 constexpr int kMaxStartAttempts = 3;
--- a/src/plugins/stream_nghttp2/http2_options.h
+++ b/src/plugins/stream_nghttp2/http2_options.h
@@ -10,13 +10,13 @@
 
 /// Limits of the HTTP/2 transport.
 struct Http2Options {
-  Duration connect_timeout = std::chrono::seconds(2);
+  Duration connect_timeout = std::chrono::milliseconds(800);
 
   /// Silence on a connection with open streams after which a ping is sent.
-  Duration ping_after = std::chrono::seconds(2);
+  Duration ping_after = std::chrono::milliseconds(700);
 
   /// Silence after a ping that counts as a lost connection.
-  Duration ping_timeout = std::chrono::seconds(3);
+  Duration ping_timeout = std::chrono::milliseconds(1500);
 
   /// Time without streams after which an opened connection is closed.
   Duration idle_timeout = std::chrono::seconds(30);
