Tests of the adapter, orders, group repair, heartbeats and the patterns of load

Found by them and mended: an attempt that asks for a free slot waited where nothing was known of the server's speed.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -44,7 +44,8 @@
     return {{request.id, ResultCode::kOk, {}}};
   }
   const Duration wait = WaitOf(request, now);
-  if (request.max_wait && wait > *request.max_wait) {
+  // While nothing is known of the server's speed, the wait looks like none.
+  if (request.max_wait && wait >= *request.max_wait) {
     return {{request.id, ResultCode::kServerFull, wait}};
   }
   if (!CanFinish(request, wait, now) || !MeetsObjective(request, wait, now)) {
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -29,7 +29,7 @@
   std::uint32_t priority = 0;  ///< 0 is shed last.
   SteadyTime deadline;
   std::optional<SteadyTime> objective;  ///< A later answer is worth little.
-  std::optional<Duration> max_wait;     ///< An expected wait beyond it is refused.
+  std::optional<Duration> max_wait;     ///< It is refused where it would wait so long.
   std::string work;                     ///< Kind of work, for the time it takes.
 };
 
--- a/tests/base/settings_test.cc
+++ b/tests/base/settings_test.cc
@@ -12,6 +12,7 @@
       "prog", "does things",
       {{"listen", SettingKind::kEndpoint, "address:port", "", 0, 0, true, "h"},
        {"period", SettingKind::kMillis, "ms", "100", 10, 1000, false, "h"},
+       {"share", SettingKind::kRatio, "", "0", 0, 0, false, "h"},
        {"verbose", SettingKind::kFlag, "", "false", 0, 0, false, "h"}});
 }
 
@@ -43,6 +44,28 @@
             "period (flag --period) '5' is out of range; allowed: 10 to 1000 ms\n");
 }
 
+TEST(SettingsTest, TimesMayBeStatedInSeconds) {
+  const auto read = [](const std::string& text) {
+    return ReadWith({"--listen", "127.0.0.1:5", "--period", text}, {});
+  };
+  EXPECT_EQ(read("0.25s").settings.Millis("period"), std::chrono::milliseconds(250));
+  EXPECT_EQ(read("1s").settings.Millis("period"), std::chrono::milliseconds(1000));
+  for (const char* wrong : {"s", "1.5", "-1s", "2s", "1ms", "nans", "1e99s"}) {
+    EXPECT_NE(read(wrong).errors, "") << wrong;
+  }
+}
+
+TEST(SettingsTest, SharesAreNumbersFromZeroToOne) {
+  const auto read = [](const std::string& text) {
+    return ReadWith({"--listen", "127.0.0.1:5", "--share", text}, {});
+  };
+  EXPECT_EQ(read("0.2").settings.Ratio("share"), 0.2);
+  EXPECT_EQ(read("1").errors, "");
+  for (const char* wrong : {"1.1", "-0.1", "half", "0.2x", "nan"}) {
+    EXPECT_NE(read(wrong).errors, "") << wrong;
+  }
+}
+
 TEST(SettingsTest, UnknownFlagIsAnError) {
   const auto outcome = ReadWith({"--listen", "127.0.0.1:1", "--nonsense"}, {});
   EXPECT_EQ(outcome.errors, "flag --nonsense: no such setting\n");
--- /dev/null
+++ b/tests/calls/load_decisions_test.cc
@@ -0,0 +1,276 @@
+// Who waits, who is refused and where work goes, by pattern of load. No network.
+#include <map>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "calls/admission_control.h"
+#include "calls/load_table.h"
+#include "calls/refusal_rates.h"
+#include "calls/retry_budgets.h"
+#include "calls/service_times.h"
+
+namespace quetzal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST(ServiceTimesTest, KindsOfWorkAreKeptApart) {
+  ServiceTimes times;
+  EXPECT_EQ(times.Expected("read"), Duration::zero());
+  for (int n = 0; n < 50; ++n) {
+    times.Note("read", milliseconds(50));
+    times.Note("report", milliseconds(900));
+  }
+  EXPECT_EQ(times.Expected("read"), milliseconds(50));
+  EXPECT_EQ(times.Expected("report"), milliseconds(900));
+  EXPECT_EQ(times.Expected("new"), times.mean());
+  EXPECT_GT(times.mean(), milliseconds(50));
+}
+
+class AdmissionPatternTest : public testing::Test {
+ protected:
+  AdmissionPatternTest() {
+    AdmissionLimits limits;
+    limits.state = SERVER_UP;
+    limits.slots = 2;
+    limits.queue = 8;
+    control_.SetLimits(limits, clock_.Now());
+  }
+
+  /// Requests of `work` that took `time` each.
+  void Learn(const std::string& work, Duration time) {
+    for (int n = 0; n < 100; ++n) {
+      Offer(1000 + n, work, seconds(9));
+      Take(control_.Finish(work, time, clock_.Now()));
+    }
+    verdicts_.clear();
+  }
+
+  void Offer(std::uint64_t id, const std::string& work, Duration objective,
+             std::optional<Duration> max_wait = std::nullopt,
+             std::uint32_t priority = 1) {
+    AdmissionRequest request;
+    request.id = id;
+    request.priority = priority;
+    request.deadline = clock_.Now() + seconds(10);
+    request.objective = clock_.Now() + objective;
+    request.max_wait = max_wait;
+    request.work = work;
+    Take(control_.Offer(request, clock_.Now()));
+  }
+  void Finish(const std::string& work, Duration time) {
+    Take(control_.Finish(work, time, clock_.Now()));
+  }
+  void Take(const AdmissionControl::Verdicts& verdicts) {
+    for (const AdmissionVerdict& verdict : verdicts) verdicts_[verdict.id] = verdict;
+  }
+  ResultCode CodeOf(std::uint64_t id) {
+    return verdicts_.count(id) == 0 ? ResultCode::kPending : verdicts_[id].code;
+  }
+
+  ManualClock clock_;
+  AdmissionControl control_;
+  std::map<std::uint64_t, AdmissionVerdict> verdicts_;
+};
+
+// Pattern: a service near its capacity, where some servers still have room.
+TEST_F(AdmissionPatternTest, ARequestThatAsksForASlotIsToldTheWait) {
+  Learn("read", milliseconds(100));
+  for (const int id : {1, 2}) Offer(id, "read", seconds(1), Duration::zero());
+  EXPECT_EQ(CodeOf(1), ResultCode::kOk);
+  EXPECT_EQ(CodeOf(2), ResultCode::kOk);
+  Offer(3, "read", seconds(1), Duration::zero());
+  EXPECT_EQ(CodeOf(3), ResultCode::kServerFull);
+  EXPECT_EQ(verdicts_[3].retry_after, milliseconds(50)) << "half a service time";
+  Offer(4, "read", seconds(1));
+  EXPECT_EQ(CodeOf(4), ResultCode::kPending);
+  Offer(5, "read", seconds(2), Duration::zero());
+  EXPECT_EQ(verdicts_[5].retry_after, milliseconds(100)) << "behind the one that waits";
+}
+
+// Pattern: a burst beyond capacity. What would come too late is refused at once, so that
+// the others are in time.
+TEST_F(AdmissionPatternTest, ABurstIsRefusedWhereTheObjectiveCannotBeMet) {
+  Learn("read", milliseconds(100));
+  for (int id = 1; id <= 12; ++id) {
+    Offer(id, "read", milliseconds(260));
+    clock_.Advance(std::chrono::microseconds(10));
+  }
+  int waiting = 0;
+  int refused = 0;
+  for (int id = 3; id <= 12; ++id) {
+    if (CodeOf(id) == ResultCode::kPending) ++waiting;
+    if (CodeOf(id) == ResultCode::kShed) ++refused;
+  }
+  EXPECT_EQ(waiting, 3) << "three more fit into 160 ms at two slots";
+  EXPECT_EQ(refused, 7);
+  clock_.Advance(milliseconds(100));
+  for (int n = 0; n < 2; ++n) Finish("read", milliseconds(100));
+  EXPECT_EQ(CodeOf(3), ResultCode::kOk);
+}
+
+// Pattern: calls that other requests wait for arrive behind long requests.
+TEST_F(AdmissionPatternTest, UrgentWorkPassesLongWork) {
+  Learn("report", milliseconds(800));
+  Learn("call", milliseconds(50));
+  for (const int id : {1, 2, 3, 4}) Offer(id, "report", seconds(4));
+  Offer(5, "call", milliseconds(700), std::nullopt, 0);
+  EXPECT_EQ(CodeOf(5), ResultCode::kPending);
+  Finish("report", milliseconds(800));
+  EXPECT_EQ(CodeOf(5), ResultCode::kOk);
+  EXPECT_EQ(CodeOf(3), ResultCode::kPending);
+}
+
+// Pattern: a server turns slow while requests wait there.
+TEST_F(AdmissionPatternTest, WhatBecameLateGivesItsSlotToWhatIsInTime) {
+  Learn("read", milliseconds(100));
+  for (const int id : {1, 2}) Offer(id, "read", seconds(1));
+  Offer(3, "read", milliseconds(300));
+  clock_.Advance(milliseconds(250));
+  Offer(4, "read", milliseconds(500));
+  Finish("read", milliseconds(250));
+  EXPECT_EQ(CodeOf(3), ResultCode::kShed);
+  EXPECT_EQ(CodeOf(4), ResultCode::kOk);
+}
+
+// Pattern: the same, with nobody else waiting: a late answer is better than none.
+TEST_F(AdmissionPatternTest, WhatBecameLateIsServedWhenNobodyElseWaits) {
+  Learn("read", milliseconds(100));
+  for (const int id : {1, 2}) Offer(id, "read", seconds(1));
+  Offer(3, "read", milliseconds(300));
+  clock_.Advance(milliseconds(400));
+  Finish("read", milliseconds(400));
+  EXPECT_EQ(CodeOf(3), ResultCode::kOk);
+}
+
+// Pattern: sustained overload. Callers who come back at once would be refused again.
+TEST(RefusalRatesTest, RetryAfterGrowsWithTheShareThatIsRefused) {
+  RefusalRates rates;
+  const SteadyTime now = SteadyTime(seconds(100));
+  for (int n = 0; n < 100; ++n) rates.Note("calm", false, now);
+  for (int n = 0; n < 100; ++n) rates.Note("full", n % 4 != 0, now);
+  EXPECT_LT(rates.RetryAfter("calm", milliseconds(100), now), milliseconds(110));
+  EXPECT_GT(rates.RetryAfter("full", milliseconds(100), now), milliseconds(300));
+  EXPECT_LT(rates.RetryAfter("full", milliseconds(100), now + seconds(10)),
+            milliseconds(110))
+      << "a burst is forgotten";
+  EXPECT_EQ(rates.RetryAfter("full", seconds(60), now), seconds(5));
+  EXPECT_GE(rates.RetryAfter("new", Duration::zero(), now), milliseconds(50));
+}
+
+// Pattern: all servers of a service fail at once, seen by all nodes.
+TEST(RetryBudgetsTest, NodesTogetherStayWithinTheSharedBudget) {
+  constexpr std::uint32_t kNodes = 12;
+  constexpr std::uint32_t kBurst = 64;
+  constexpr int kRequests = 1000;
+  int retries = 0;
+  for (std::uint32_t node = 0; node < kNodes; ++node) {
+    RetryBudgets budgets(20, kBurst);
+    budgets.SetNodes(kNodes);
+    for (int n = 0; n < kRequests; ++n) {
+      budgets.Earn("desk", 0);
+      while (budgets.Spend("desk")) ++retries;
+    }
+  }
+  EXPECT_LE(retries, static_cast<int>(0.2 * kRequests * kNodes + kBurst));
+  EXPECT_GE(retries, static_cast<int>(0.19 * kRequests * kNodes));
+}
+
+TEST(RetryBudgetsTest, SavingsAreBoundedAndServicesApart) {
+  RetryBudgets budgets(20, 64);
+  budgets.SetNodes(4);
+  for (int n = 0; n < 10'000; ++n) budgets.Earn("desk", 0);
+  int retries = 0;
+  while (budgets.Spend("desk")) ++retries;
+  EXPECT_EQ(retries, 8);
+  EXPECT_TRUE(budgets.Spend("taller"));
+}
+
+class LoadPatternTest : public testing::Test {
+ protected:
+  LoadPatternTest() {
+    for (int n = 0; n < 4; ++n) {
+      BackendTarget target;
+      target.instance = "node-" + std::to_string(n);
+      target.data_centre = "haro";
+      target.incarnation = 1;
+      target.service = "desk";
+      target.slots = 10;
+      target.state = SERVER_UP;
+      targets_.push_back(target);
+    }
+    options_.data_centre = "haro";
+    options_.load_policy = "random";
+  }
+
+  const BackendTarget* Choose() {
+    std::vector<const BackendTarget*> list;
+    for (const BackendTarget& target : targets_) list.push_back(&target);
+    return table_.Choose(list, options_);
+  }
+  std::set<std::string> ChosenOf(int times, AttemptEnd end = AttemptEnd::kAnswered) {
+    std::set<std::string> chosen;
+    for (int n = 0; n < times; ++n) {
+      const BackendTarget* target = Choose();
+      chosen.insert(target->instance);
+      table_.End(*target, end);
+    }
+    return chosen;
+  }
+
+  ManualClock clock_;
+  Random random_{3};
+  LoadTable table_{&clock_, &random_};
+  std::vector<BackendTarget> targets_;
+  ChoiceOptions options_;
+};
+
+// Pattern: an instance freezes, or its link goes silent.
+TEST_F(LoadPatternTest, AnInstanceThatFallsSilentIsLeftOut) {
+  table_.Begin(targets_[0]);
+  clock_.Advance(milliseconds(200));
+  EXPECT_EQ(ChosenOf(40).count("node-0"), 1U) << "a request may take so long";
+  clock_.Advance(milliseconds(400));
+  EXPECT_EQ(ChosenOf(40).count("node-0"), 0U);
+  table_.End(targets_[0], AttemptEnd::kAnswered);
+  EXPECT_EQ(ChosenOf(40).count("node-0"), 1U);
+}
+
+// Pattern: long requests on a slow server are no silence.
+TEST_F(LoadPatternTest, ASlowServerIsNotTakenForASilentOne) {
+  table_.Report(targets_[0], {0, 0, 10, milliseconds(900)});
+  table_.Begin(targets_[0]);
+  clock_.Advance(seconds(3));
+  EXPECT_EQ(ChosenOf(40).count("node-0"), 1U);
+}
+
+// Pattern: a server fails part of its requests while its health check is good.
+TEST_F(LoadPatternTest, AFailingServerGetsLess) {
+  options_.load_policy = "least_outstanding";
+  std::map<std::string, int> chosen;
+  for (int n = 0; n < 400; ++n) {
+    const BackendTarget* target = Choose();
+    ++chosen[target->instance];
+    const bool fails = target->instance == "node-0" && n % 2 == 0;
+    table_.End(*target, fails ? AttemptEnd::kTurnedAway : AttemptEnd::kAnswered);
+  }
+  EXPECT_LT(chosen["node-0"], 60);
+  EXPECT_GT(chosen["node-0"], 0);
+}
+
+// Pattern: after a burst, the last word of each server is that it is full.
+TEST_F(LoadPatternTest, OldReportsOfFullServersFade) {
+  for (const BackendTarget& target : targets_) {
+    table_.Report(target, {10, 10, 10, milliseconds(100)});
+  }
+  targets_[3].data_centre = "logrono";
+  table_.Report(targets_[3], {0, 0, 10, milliseconds(100)});
+  EXPECT_EQ(Choose()->instance, "node-3");
+  clock_.Advance(seconds(1));
+  EXPECT_NE(Choose()->data_centre, "logrono") << "the own data centre has room again";
+}
+
+}  // namespace
+}  // namespace quetzal
--- /dev/null
+++ b/tests/control/group_repair_test.cc
@@ -0,0 +1,102 @@
+#include "control/group_repair.h"
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace quetzal {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class GroupRepairTest : public testing::Test {
+ protected:
+  GroupRepairTest() {
+    for (const char* name : {"a", "b", "c"}) Join(name);
+  }
+
+  void Join(const std::string& name) {
+    group_.push_back({name, {"127.0.0.1", 1}, true, true});
+    controls_.push_back({name, {"127.0.0.1", 1}});
+  }
+  void Lose(const std::string& name) {
+    for (GroupMember& member : group_) {
+      if (member.name == name) member.answers = false;
+    }
+    gone_.insert(name);
+  }
+
+  /// "+name", "-name" or nothing.
+  std::string Next() {
+    const auto change = repair_.Next(
+        group_, controls_,
+        [this](const std::string& name) { return gone_.count(name) > 0; }, clock_.Now());
+    if (!change) return "";
+    return (change->kind == MembershipChangeKind::kAdd ? "+" : "-") + change->name;
+  }
+
+  ManualClock clock_;
+  GroupRepair repair_{GroupRepairSettings()};
+  std::vector<GroupMember> group_;
+  std::vector<ControlMembership::Peer> controls_;
+  std::set<std::string> gone_;
+};
+
+TEST_F(GroupRepairTest, AWholeGroupIsLeftAlone) { EXPECT_EQ(Next(), ""); }
+
+TEST_F(GroupRepairTest, AnInstanceThatMayComeBackIsKept) {
+  Lose("b");
+  EXPECT_EQ(Next(), "");
+  clock_.Advance(seconds(60));
+  EXPECT_EQ(Next(), "") << "two of three still agree";
+}
+
+TEST_F(GroupRepairTest, ASuccessorIsTakenInBeforeItsPredecessorIsTakenOut) {
+  Lose("b");
+  EXPECT_EQ(Next(), "");
+  controls_.push_back({"d", {"127.0.0.1", 4}});
+  EXPECT_EQ(Next(), "+d");
+  group_.push_back({"d", {"127.0.0.1", 4}, true, true});
+  EXPECT_EQ(Next(), "") << "it may only have restarted";
+  clock_.Advance(seconds(7));
+  EXPECT_EQ(Next(), "-b");
+}
+
+TEST_F(GroupRepairTest, SilenceAloneTakesNobodyOut) {
+  Join("d");
+  for (GroupMember& member : group_) member.answers = member.name != "b";
+  EXPECT_EQ(Next(), "");
+  clock_.Advance(seconds(60));
+  EXPECT_EQ(Next(), "") << "its data centre may be cut off";
+}
+
+TEST_F(GroupRepairTest, AnAnswerEndsTheSilence) {
+  Join("d");
+  Lose("b");
+  Next();
+  clock_.Advance(seconds(5));
+  group_[1].answers = true;
+  Next();
+  group_[1].answers = false;
+  clock_.Advance(seconds(5));
+  EXPECT_EQ(Next(), "");
+}
+
+TEST_F(GroupRepairTest, RefusedChangesGiveWayAndTheGroupIsBounded) {
+  controls_.push_back({"d", {"127.0.0.1", 4}});
+  controls_.push_back({"e", {"127.0.0.1", 5}});
+  MembershipChange change;
+  change.name = "d";
+  repair_.Refused(change, clock_.Now());
+  EXPECT_EQ(Next(), "+e");
+  clock_.Advance(seconds(5));
+  EXPECT_EQ(Next(), "+d");
+  group_.push_back({"d", {"127.0.0.1", 4}, true, true});
+  group_.push_back({"e", {"127.0.0.1", 5}, true, true});
+  controls_.push_back({"f", {"127.0.0.1", 6}});
+  EXPECT_EQ(Next(), "");
+}
+
+}  // namespace
+}  // namespace quetzal
--- a/tests/http1/http1_client_test.cc
+++ b/tests/http1/http1_client_test.cc
@@ -104,6 +104,48 @@
       ResultCode::kRequestMalformed);
 }
 
+// An answer to a request that was given up may come where the next one is expected.
+TEST_F(Http1ClientTest, AnotherRequestsAnswerIsSkipped) {
+  RawServer server([](RawServer::Socket& socket) {
+    std::string rest;
+    RawServer::ReadHead(socket, &rest);
+    RawServer::Write(socket,
+                     "HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 3\r\n\r\nold"
+                     "HTTP/1.1 200 OK\r\nx-id: 2\r\ncontent-length: 3\r\n\r\nnew");
+  });
+  const auto handler = Send(server.endpoint(), {{":method", "GET"}, {":echo", "x-id=2"}});
+  EXPECT_EQ(handler->WaitDone(), ResultCode::kOk);
+  EXPECT_EQ(handler->body(), "new");
+}
+
+TEST_F(Http1ClientTest, ConnectionIsNotKeptLongerThanThePeerStates) {
+  RawServer server([](RawServer::Socket& socket) {
+    std::string rest;
+    RawServer::ReadHead(socket, &rest);
+    RawServer::Write(socket,
+                     "HTTP/1.1 200 OK\r\nkeep-alive: timeout=1\r\n"
+                     "content-length: 0\r\n\r\n");
+    RawServer::ReadHead(socket, &rest);
+  });
+  EXPECT_EQ(Send(server.endpoint(), {{":method", "GET"}})->WaitDone(), ResultCode::kOk);
+  EXPECT_EQ(Send(server.endpoint(), {{":method", "GET"}})->WaitDone(), ResultCode::kOk);
+  EXPECT_EQ(server.connections(), 2) << "a margin of 1 s is kept before the peer's limit";
+}
+
+TEST_F(Http1ClientTest, AnswerWithoutALengthThatIsResetIsCut) {
+  RawServer server([](RawServer::Socket& socket) {
+    std::string rest;
+    RawServer::ReadHead(socket, &rest);
+    RawServer::Write(socket, "HTTP/1.1 200 OK\r\n\r\nfour");
+    // The client has read what came before it is told of the reset.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();
+  });
+  EXPECT_EQ(Send(server.endpoint(), {{":method", "GET"}})->WaitDone(),
+            ResultCode::kAnswerCut);
+}
+
 struct CutCase {
   const char* name;
   const char* bytes;
--- a/tests/node/backend_server_watch_test.cc
+++ b/tests/node/backend_server_watch_test.cc
@@ -59,6 +59,60 @@
   EXPECT_EQ(states_, (std::vector<ServerState>{SERVER_UP, SERVER_LEAVING}));
 }
 
+class HeartbeatOrderTest : public BackendServerWatchTest {
+ protected:
+  void Beat(const std::string& id, int born, std::uint64_t sequence,
+            bool leaving = false) {
+    ServerHeartbeat heartbeat;
+    heartbeat.id = id;
+    heartbeat.service = "bodega-desk";
+    heartbeat.address = {"127.0.0.1", 9001};
+    heartbeat.slots = 20;
+    heartbeat.born = std::chrono::milliseconds(born);
+    heartbeat.sequence = sequence;
+    heartbeat.leaving = leaving;
+    watch_.TakeHeartbeat(heartbeat);
+  }
+  ServerState state() const { return watch_.server().state; }
+};
+
+TEST_F(HeartbeatOrderTest, ALateHeartbeatOfAFormerIncarnationChangesNothing) {
+  Beat("i-2", 200, 1);
+  Beat("i-1", 100, 9, true);
+  EXPECT_EQ(watch_.server().id, "i-2");
+  EXPECT_EQ(state(), SERVER_UP);
+}
+
+TEST_F(HeartbeatOrderTest, HeartbeatsThatOvertookEachOther) {
+  Beat("i-1", 100, 5, true);
+  Beat("i-1", 100, 4);
+  EXPECT_EQ(state(), SERVER_LEAVING);
+  Beat("i-1", 100, 6);
+  EXPECT_EQ(state(), SERVER_LEAVING) << "an incarnation that leaves does not come back";
+}
+
+TEST_F(HeartbeatOrderTest, TheSameIdBornAgainStartsAnew) {
+  Beat("i-1", 100, 50, true);
+  Beat("i-1", 300, 1);
+  EXPECT_EQ(state(), SERVER_UP);
+}
+
+TEST_F(HeartbeatOrderTest, OnlyTheServersOwnLeaveCounts) {
+  Beat("i-2", 200, 1);
+  watch_.TakeLeave("i-1");
+  EXPECT_EQ(state(), SERVER_UP);
+  watch_.TakeLeave("i-2");
+  EXPECT_EQ(state(), SERVER_LEAVING);
+}
+
+TEST_F(HeartbeatOrderTest, ARefusedConnectionIsDownUntilTheNextHeartbeat) {
+  Beat("i-2", 200, 1);
+  watch_.NoteUnreachable();
+  EXPECT_EQ(state(), SERVER_DOWN);
+  Beat("i-2", 200, 2);
+  EXPECT_EQ(state(), SERVER_UP);
+}
+
 TEST_F(BackendServerWatchTest, LeavingWithoutAnAnnouncementChangesNothing) {
   watch_.Leave();
   watch_.Tick();
--- /dev/null
+++ b/tests/platform/call_dialect_test.cc
@@ -0,0 +1,128 @@
+#include "calls/call_dialect.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "base/result_code.h"
+
+namespace quetzal {
+namespace {
+
+using std::chrono::milliseconds;
+
+class PlatformDialectTest : public testing::Test {
+ protected:
+  std::string StatusOf(const Refusal& refusal) const {
+    return std::string(
+        HeaderValue(dialect_->WriteRefusal(refusal, false).headers, ":status"));
+  }
+
+  std::unique_ptr<CallDialect> dialect_ =
+      CallDialectRegistry::Instance().Create("platform");
+};
+
+TEST_F(PlatformDialectTest, TermsOfACaller) {
+  const CallerTerms terms =
+      dialect_->ReadCaller({{"x-attempt-id", "9c41"}, {"x-deadline-ms", "1500"}});
+  EXPECT_EQ(terms.request_id, "9c41");
+  EXPECT_EQ(terms.remaining, Duration(milliseconds(1500)));
+  EXPECT_FALSE(dialect_->ReadCaller({{"x-deadline-ms", "soon"}}).remaining);
+}
+
+TEST_F(PlatformDialectTest, NodesReplaceWhatCallersSayOfTheirFields) {
+  StreamHeaders headers = {{"x-attempt-id", "9c41"},
+                           {"x-caller-service", "forged"},
+                           {"x-expect-instance", "forged"},
+                           {"x-deadline-ms", "99999"}};
+  ServerTerms terms;
+  terms.remaining = milliseconds(250);
+  terms.server_id = "i-7f";
+  terms.caller_service = "desk";
+  dialect_->WriteServer(terms, &headers);
+  EXPECT_EQ(headers, (StreamHeaders{{"x-attempt-id", "9c41"},
+                                    {"x-deadline-ms", "250"},
+                                    {"x-expect-instance", "i-7f"},
+                                    {"x-caller-service", "desk"}}));
+}
+
+TEST_F(PlatformDialectTest, TermsOfAnAnswer) {
+  const StreamHeaders good = {
+      {":status", "200"}, {"x-attempt-id", "9c41"}, {"x-response-seal", "3e1b"}};
+  EXPECT_EQ(dialect_->ReadAnswer(good).request_id, "9c41");
+  EXPECT_FALSE(dialect_->ReadAnswer(good).not_run);
+  EXPECT_FALSE(dialect_->ReadAnswer(good).unproven);
+  EXPECT_TRUE(dialect_->ReadAnswer({{":status", "200"}}).unproven);
+  StreamHeaders encoded = good;
+  encoded.emplace_back("content-encoding", "gzip");
+  EXPECT_TRUE(dialect_->ReadAnswer(encoded).unproven);
+  EXPECT_TRUE(
+      dialect_->ReadAnswer({{":status", "503"}, {"x-not-executed", "1"}}).not_run);
+  EXPECT_FALSE(dialect_->ReadAnswer({{":status", "503"}}).not_run)
+      << "a server's own 503 promises nothing";
+  EXPECT_FALSE(dialect_->ReadAnswer({{":status", "500"}}).unproven);
+  const AnswerTerms stale = dialect_->ReadAnswer({{":status", "421"}});
+  EXPECT_TRUE(stale.not_run && stale.stale);
+}
+
+struct StatusRow {
+  ResultCode code;
+  bool not_run;
+  const char* status;
+};
+
+// One row for each code that a call can end with: 503 is a promise, 502 and 504 are none.
+TEST_F(PlatformDialectTest, StatusOfEachOutcome) {
+  for (const StatusRow& row : std::initializer_list<StatusRow>{
+           {ResultCode::kNoRoute, true, "404"},
+           {ResultCode::kRequestMalformed, true, "400"},
+           {ResultCode::kBodyTooLarge, true, "413"},
+           {ResultCode::kNoBackendServer, true, "503"},
+           {ResultCode::kServerLeaving, true, "503"},
+           {ResultCode::kServerFull, true, "503"},
+           {ResultCode::kShed, true, "503"},
+           {ResultCode::kStaleIncarnation, true, "503"},
+           {ResultCode::kNodeStarting, true, "503"},
+           {ResultCode::kNodeStopping, true, "503"},
+           {ResultCode::kConnectFailed, true, "503"},
+           {ResultCode::kDeadlineExceeded, true, "503"},
+           {ResultCode::kDeadlineExceeded, false, "504"},
+           {ResultCode::kTimeout, false, "504"},
+           {ResultCode::kOutcomeUnknown, false, "502"},
+           {ResultCode::kAnswerCut, false, "502"},
+           {ResultCode::kConnectionLost, false, "502"},
+           {ResultCode::kStreamReset, false, "502"},
+           {ResultCode::kInternalError, false, "502"},
+       }) {
+    EXPECT_EQ(StatusOf({row.code, row.not_run}), row.status)
+        << InfoOf(row.code).name << " not run: " << row.not_run;
+  }
+}
+
+TEST_F(PlatformDialectTest, OnlyAPromiseSaysWhenToComeBack) {
+  const RefusalAnswer full =
+      dialect_->WriteRefusal({ResultCode::kServerFull, true, milliseconds(135)}, true);
+  EXPECT_EQ(HeaderValue(full.headers, "retry-after"), "0.135");
+  EXPECT_EQ(HeaderValue(full.headers, "connection"), "close");
+  EXPECT_EQ(HeaderValue(full.headers, "content-length"),
+            std::to_string(full.body.size()));
+  const RefusalAnswer unknown =
+      dialect_->WriteRefusal({ResultCode::kAnswerCut, false, milliseconds(135)}, false);
+  EXPECT_EQ(HeaderValue(unknown.headers, "retry-after"), "");
+}
+
+TEST_F(PlatformDialectTest, AnyFieldsAreRead) {
+  EXPECT_TRUE(rc::check([this](const std::vector<std::string>& values) {
+    StreamHeaders headers;
+    const char* const names[] = {":status", "x-attempt-id", "x-deadline-ms",
+                                 "x-not-executed", "x-response-seal"};
+    for (std::size_t n = 0; n < values.size(); ++n) {
+      headers.emplace_back(names[n % 5], values[n]);
+    }
+    dialect_->ReadCaller(headers);
+    dialect_->ReadAnswer(headers);
+    dialect_->WriteServer({}, &headers);
+  }));
+}
+
+}  // namespace
+}  // namespace quetzal
--- /dev/null
+++ b/tests/platform/order_codec_test.cc
@@ -0,0 +1,118 @@
+#include "platform/order_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include "base/result_code.h"
+#include "configuration/configuration_check.h"
+
+namespace quetzal::platform {
+namespace {
+
+constexpr char kOrder[] =
+    R"({"version":"0000001c","baseVersion":"0000000a","extra":true,)"
+    R"("routes":[{"name":"r-b","host":"Ficu95.example","pathPrefix":"/b/","kind":"safe",)"
+    R"("timeoutS":0.8,"sloS":0.3,"priority":2,"attempts":2,)"
+    R"("split":[{"service":"desk","weight":90},{"service":"stock","weight":0.5}]},)"
+    R"({"name":"r-a","host":"ficu95.example","pathPrefix":"/a/","kind":"unsafe",)"
+    R"("timeoutS":1,"sloS":0.4,"priority":1,"attempts":3,"service":"desk"}],)"
+    R"("services":[{"name":"stock","healthPath":"/h","maxConns":110,"protocol":"h1",)"
+    R"("tls":false},{"name":"desk","healthPath":"/h","maxConns":130}],)"
+    R"("limits":{"maxHeaderBytes":16384}})";
+
+/// kOrder with `from` replaced.
+std::string With(const std::string& from, const std::string& to) {
+  std::string text = kOrder;
+  const std::size_t at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  return text.replace(at, from.size(), to);
+}
+
+std::string FaultsOf(const std::string& body) {
+  try {
+    DecodeOrder(body);
+  } catch (const Error& error) {
+    EXPECT_EQ(error.code(), ResultCode::kRequestMalformed);
+    return error.what();
+  }
+  return "";
+}
+
+TEST(OrderCodecTest, AnOrderBecomesAConfigurationSortedByName) {
+  const ConfigurationOrder order = DecodeOrder(kOrder);
+  EXPECT_EQ(order.number, 0x1cU);
+  EXPECT_EQ(order.base, 0xaU);
+  EXPECT_EQ(order.document, kOrder);
+  ASSERT_EQ(order.configuration.routes_size(), 2);
+  const Route& orders = order.configuration.routes(0);
+  EXPECT_EQ(orders.name(), "r-a");
+  EXPECT_FALSE(orders.idempotent());
+  EXPECT_TRUE(orders.keyless());
+  EXPECT_TRUE(orders.fixed_shares());
+  EXPECT_EQ(orders.timeout_ms(), 1000U);
+  EXPECT_EQ(orders.objective_ms(), 400U);
+  EXPECT_EQ(orders.attempts(), 3U);
+  EXPECT_EQ(orders.priority(), 1U);
+  const Route& reports = order.configuration.routes(1);
+  EXPECT_EQ(reports.host(), "ficu95.example");
+  EXPECT_TRUE(reports.idempotent());
+  EXPECT_EQ(reports.targets(0).weight(), 9000U);
+  EXPECT_EQ(reports.targets(1).weight(), 50U);
+  EXPECT_EQ(order.configuration.services(0).name(), "desk");
+  EXPECT_EQ(order.configuration.services(0).connections(), 130U);
+  EXPECT_NO_THROW(CheckConfiguration(order.configuration));
+}
+
+TEST(OrderCodecTest, ARouteMayLeaveOutItsTimes) {
+  const ConfigurationOrder order = DecodeOrder(With(R"("timeoutS":1,"sloS":0.4,)", ""));
+  EXPECT_EQ(order.configuration.routes(0).objective_ms(), 0U);
+  EXPECT_NO_THROW(CheckConfiguration(order.configuration));
+}
+
+TEST(OrderCodecTest, AllFaultsAreNamedAtOnce) {
+  const std::string faults = FaultsOf(
+      R"({"version":"1","routes":[{"name":"r","host":"","kind":"odd","attempts":0}],)"
+      R"("services":7})");
+  EXPECT_EQ(faults,
+            "version is not a version of eight hexadecimal digits; "
+            "baseVersion is missing; baseVersion is not a version of eight hexadecimal "
+            "digits; services is not a list; route: host is not a text, or is empty; "
+            "route: pathPrefix is missing; route: kind 'odd' is unknown; "
+            "route: attempts is not a whole number from 1 to 100; "
+            "route: service is missing");
+}
+
+TEST(OrderCodecTest, WrongFieldsAreRefused) {
+  for (const std::string& body :
+       {With(R"("weight":90)", R"("weight":-1)"),
+        With(R"("weight":90)", R"("weight":"9")"),
+        With(R"("timeoutS":1)", R"("timeoutS":-1)"),
+        With(R"("timeoutS":1)", R"("timeoutS":"1")"),
+        With(R"("attempts":3)", R"("attempts":0)"),
+        With(R"("attempts":3)", R"("attempts":1.5)"),
+        With(R"("kind":"unsafe")", R"("kind":"Unsafe")"),
+        With(R"("version":"0000001c")", R"("version":28)"),
+        With(R"("priority":1)", R"("priority":-1)"), std::string("[]"), std::string()}) {
+    EXPECT_NE(FaultsOf(body), "") << body;
+  }
+}
+
+TEST(OrderCodecTest, ABodyThatIsCutShortIsRefused) {
+  const std::string whole = kOrder;
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    EXPECT_NE(FaultsOf(whole.substr(0, n)), "") << n;
+  }
+}
+
+TEST(OrderCodecTest, AnyBytesAreAnOrderOrAnError) {
+  EXPECT_TRUE(rc::check([](const std::string& bytes) { FaultsOf(bytes); }));
+  EXPECT_TRUE(rc::check([] {
+    std::string text = kOrder;
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+    FaultsOf(text);
+  }));
+}
+
+}  // namespace
+}  // namespace quetzal::platform
