--- /dev/null
+++ b/src/libquetzal/base/delta_compression.cc
@@ -0,0 +1,70 @@
+#include "base/delta_compression.h"
+
+#include <zstd.h>
+
+#include <memory>
+
+#include "base/result_code.h"
+
+namespace quetzal {
+namespace {
+
+/// Higher levels search longer for little: most of the bytes stand in the base.
+constexpr int kLevel = 3;
+
+/// Windows of 1 KiB to 128 MiB, as far as the format goes on all machines.
+constexpr int kMinWindowLog = 10;
+constexpr int kMaxWindowLog = 27;
+
+struct FreeContext {
+  void operator()(ZSTD_CCtx* context) const { ZSTD_freeCCtx(context); }
+  void operator()(ZSTD_DCtx* context) const { ZSTD_freeDCtx(context); }
+};
+
+/// The smallest window that reaches from the end of `bytes` to the begin of `base`.
+int WindowLog(std::string_view base, std::string_view bytes) {
+  int log = kMinWindowLog;
+  while (log < kMaxWindowLog && (std::size_t{1} << log) < base.size() + bytes.size()) {
+    ++log;
+  }
+  return log;
+}
+
+}  // namespace
+
+std::string CompressAgainst(std::string_view base, std::string_view bytes) {
+  const std::unique_ptr<ZSTD_CCtx, FreeContext> context(ZSTD_createCCtx());
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, kLevel);
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, WindowLog(base, bytes));
+  ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
+  std::string out(ZSTD_compressBound(bytes.size()), '\0');
+  const std::size_t n =
+      ZSTD_compress2(context.get(), out.data(), out.size(), bytes.data(), bytes.size());
+  if (ZSTD_isError(n) != 0) {
+    throw Error(ResultCode::kInternalError,
+                std::string("compression failed: ") + ZSTD_getErrorName(n));
+  }
+  out.resize(n);
+  return out;
+}
+
+std::string DecompressAgainst(std::string_view base, std::string_view compressed,
+                              std::size_t max_bytes) {
+  const unsigned long long size =  // NOLINT(google-runtime-int): the library's type
+      ZSTD_getFrameContentSize(compressed.data(), compressed.size());
+  if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN ||
+      size > max_bytes) {
+    throw Error(ResultCode::kMessageMalformed, "compressed bytes of an unknown size");
+  }
+  const std::unique_ptr<ZSTD_DCtx, FreeContext> context(ZSTD_createDCtx());
+  ZSTD_DCtx_refPrefix(context.get(), base.data(), base.size());
+  std::string out(size, '\0');
+  const std::size_t n = ZSTD_decompressDCtx(context.get(), out.data(), out.size(),
+                                            compressed.data(), compressed.size());
+  if (ZSTD_isError(n) != 0 || n != size) {
+    throw Error(ResultCode::kMessageMalformed, "compressed bytes cannot be read");
+  }
+  return out;
+}
+
+}  // namespace quetzal
--- a/src/libquetzal/calls/retry_budgets.cc
+++ b/src/libquetzal/calls/retry_budgets.cc
@@ -9,9 +9,10 @@
 constexpr std::uint64_t kOwnMost = 100 * kRetry;
 constexpr std::uint64_t kOwnStart = 10 * kRetry;
 
-/// Part of the shared burst that is handed out. Repeated runs make calls of their own,
-/// which count as repeats at the services that they call.
+/// Parts of the shared burst and share that are handed out. Repeated runs make calls of
+/// their own, which count as repeats at the services that they call.
 constexpr std::uint64_t kBurstPartPercent = 50;
+constexpr std::uint32_t kSharePartPercent = 65;
 
 }  // namespace
 
@@ -26,7 +27,9 @@
 void RetryBudgets::Earn(const std::string& service, std::uint32_t percent) {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::uint64_t& tokens = TokensLocked(service);
-  tokens = std::min(MostLocked(), tokens + (shared_burst_ > 0 ? percent_ : percent));
+  tokens = std::min(
+      MostLocked(),
+      tokens + (shared_burst_ > 0 ? percent_ * kSharePartPercent / kRetry : percent));
 }
 
 bool RetryBudgets::Spend(const std::string& service) {
--- a/src/libquetzal/control/intent_machine.cc
+++ b/src/libquetzal/control/intent_machine.cc
@@ -333,7 +333,7 @@
   for (const auto& [key, record] : records_) *state.add_intents() = record;
   for (const HistoryItem& item : history_) *state.add_history() = item;
   state.set_order_number(order_number_);
-  state.set_document(document_);
+  state.set_replaced_content(replaced_content_);
   for (const AcceptedOrder& order : accepted_orders_) {
     *state.add_accepted_orders() = order;
   }
@@ -361,7 +361,7 @@
     }
     history_.assign(state.history().begin(), state.history().end());
     order_number_ = state.order_number();
-    document_ = state.document();
+    replaced_content_ = state.replaced_content();
     accepted_orders_.assign(state.accepted_orders().begin(),
                             state.accepted_orders().end());
   }
--- a/src/libquetzal/control/intent_machine.h
+++ b/src/libquetzal/control/intent_machine.h
@@ -63,6 +63,9 @@
   /// change or is no longer kept.
   std::string IntentConfirmedAs(const Version& version) const;
 
+  /// `order` as it goes into the log. Throws Error(kInternalError).
+  ReplaceConfiguration Pack(const ReplaceConfiguration& order) const;
+
   /// The document of the configuration in force; nothing when it was not replaced as a
   /// whole.
   std::optional<std::string> document() const;
@@ -85,7 +88,7 @@
   // Configurations that are replaced as a whole (intent_machine_order.cc).
   ControlResult Replace(const Version& at, const ControlEntry& entry);
   bool IsAcceptedLocked(const ReplaceConfiguration& order) const;
-  void AcceptLocked(const ReplaceConfiguration& order);
+  void AcceptLocked(const ReplaceConfiguration& order, std::string content);
 
   // Changes of the control instances (intent_machine_group.cc).
   IntentRecord* GroupChangeLocked();
@@ -113,7 +116,7 @@
   std::uint64_t declared_ = 0;
   std::uint64_t forgotten_ = 0;
   std::uint64_t order_number_ = 0;
-  std::string document_;
+  std::string replaced_content_;
   std::deque<AcceptedOrder> accepted_orders_;
   std::map<Key, IntentRecord> records_;
   std::vector<HistoryItem> history_;
--- a/src/libquetzal/control/intent_machine_order.cc
+++ b/src/libquetzal/control/intent_machine_order.cc
@@ -3,12 +3,18 @@
 #include <utility>
 
 #include "base/concat.h"
+#include "base/delta_compression.h"
 #include "base/result_code.h"
 #include "configuration/configuration_check.h"
 #include "control/intent_machine.h"
 #include "control/intent_record.h"
 
 namespace quetzal {
+namespace {
+
+constexpr std::size_t kMaxContentBytes = std::size_t{16} << 20;
+
+}  // namespace
 
 ControlResult IntentMachine::Replace(const Version& at, const ControlEntry& entry) {
   const ReplaceConfiguration& order = entry.replace();
@@ -25,16 +31,23 @@
                              order_number_, "."));
   }
   Configuration next = *configuration_;
-  *next.mutable_services() = order.configuration().services();
-  *next.mutable_routes() = order.configuration().routes();
+  std::string bytes;
   try {
+    bytes =
+        DecompressAgainst(replaced_content_, order.packed_content(), kMaxContentBytes);
+    ReplacedContent content;
+    if (!content.ParseFromString(bytes)) {
+      throw Error(ResultCode::kMessageMalformed, "The order's content is malformed.");
+    }
+    *next.mutable_services() = content.configuration().services();
+    *next.mutable_routes() = content.configuration().routes();
     CheckConfiguration(next);
   } catch (const Error& error) {
     return MakeResult(error.code(), error.what());
   }
   SetConfigurationLocked(at, std::move(next));
   operator_version_ = at;
-  AcceptLocked(order);
+  AcceptLocked(order, std::move(bytes));
   HistoryItem item;
   *item.mutable_version() = at;
   item.set_wall_micros(entry.wall_micros());
@@ -51,9 +64,9 @@
                      });
 }
 
-void IntentMachine::AcceptLocked(const ReplaceConfiguration& order) {
+void IntentMachine::AcceptLocked(const ReplaceConfiguration& order, std::string content) {
   order_number_ = order.number();
-  document_ = order.document();
+  replaced_content_ = std::move(content);
   AcceptedOrder accepted;
   accepted.set_number(order.number());
   accepted.set_digest(order.digest());
@@ -64,7 +77,20 @@
 std::optional<std::string> IntentMachine::document() const {
   std::lock_guard lock(mutex_);
   if (order_number_ == 0) return std::nullopt;
-  return document_;
+  ReplacedContent content;
+  content.ParseFromString(replaced_content_);
+  return content.document();
+}
+
+// Configurations follow each other with few differences, and every entry goes to all
+// control instances. An order that names another base is refused, whatever it is packed
+// against.
+ReplaceConfiguration IntentMachine::Pack(const ReplaceConfiguration& order) const {
+  ReplaceConfiguration packed = order;
+  packed.clear_content();
+  std::lock_guard lock(mutex_);
+  packed.set_packed_content(CompressAgainst(replaced_content_, order.content()));
+  return packed;
 }
 
 }  // namespace quetzal
--- a/src/libquetzal/control/order_service.cc
+++ b/src/libquetzal/control/order_service.cc
@@ -58,8 +58,10 @@
   replace->set_number(order.number);
   replace->set_base(order.base);
   replace->set_digest(DigestOf(order.document));
-  replace->set_document(order.document);
-  *replace->mutable_configuration() = order.configuration;
+  ReplacedContent content;
+  content.set_document(order.document);
+  *content.mutable_configuration() = order.configuration;
+  replace->set_content(content.SerializeAsString());
   dependencies_.executor->Post(
       [this, message = std::move(message), done = std::move(done)] {
         Take(message, [this, number = message.replace().number(),
@@ -94,7 +96,7 @@
       static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
                                      dependencies_.clock->WallNow().time_since_epoch())
                                      .count()));
-  *entry.mutable_replace() = order.replace();
+  *entry.mutable_replace() = dependencies_.machine->Pack(order.replace());
   dependencies_.agreement->Propose(
       entry.SerializeAsString(),
       [this, order, done](ResultCode code, LogPosition, const std::string& result) {
