--- a/src/control/control_program.cc
+++ b/src/control/control_program.cc
@@ -13,7 +13,9 @@
 // Nodes of a whole fleet may subscribe to one control instance.
 constexpr std::size_t kMaxAcceptedConnections = 2048;
 
-/// Log entries hold whole configurations; the log stands in memory until a snapshot.
+/// Applying an entry that replaces a configuration of many hundred routes takes
+/// milliseconds of a whole core, and a start applies all entries since the snapshot.
+constexpr std::uint64_t kSnapshotEntries = 32;
 constexpr std::uint64_t kSnapshotLogBytes = 2 << 20;
 
 StreamTransportOptions TransportLimits() {
@@ -97,6 +99,7 @@
   // Settings come in flags and variables, which only a new process can read.
   runtime_->OnReloadSignal([this] { events_.Emit({"settings.kept", {}}); });
   AgreementOptions options;
+  options.snapshot_entries = kSnapshotEntries;
   options.snapshot_log_bytes = kSnapshotLogBytes;
   options.bootstrap = settings.Flag("bootstrap") && IsFounder(settings);
   agreement_ = std::make_unique<AgreementService>(
