Distribution: fewer configurations are kept for deltas

Cause: each node kept up to 4 MB of encoded configurations as a possible relay, which takes several times as much in memory.

--- a/src/libquetzal/distribution/fanout.h
+++ b/src/libquetzal/distribution/fanout.h
@@ -25,8 +25,10 @@
   std::size_t max_session_buffered_bytes = 512u << 10;  ///< Then waits with updates.
   double admissions_per_second = 1000;
   double admission_burst = 500;
-  std::size_t history_bytes = 4u << 20;
-  std::size_t history_entries = 512;
+  /// Configurations kept for deltas. In memory each takes several times its encoded
+  /// bytes; a subscriber that missed more gets a snapshot.
+  std::size_t history_bytes = 1u << 20;
+  std::size_t history_entries = 16;
 };
 
 /// The subscribers of one source (a control instance or a relay). All calls come on one
--- a/src/libquetzal/distribution/node_spread.h
+++ b/src/libquetzal/distribution/node_spread.h
@@ -30,12 +30,19 @@
   Endpoint caller;                ///< Where callers reach this node; may be empty.
 };
 
+/// Bounds of a relay, whose subscribers are always near the latest configuration.
+inline FanoutSettings RelayFanout() {
+  FanoutSettings settings;
+  settings.history_entries = 4;
+  return settings;
+}
+
 /// Settings of membership and distribution on a node.
 struct NodeSpreadSettings {
   std::vector<Endpoint> controls;  ///< Stream addresses of the control instances.
   std::vector<Endpoint> seeds;     ///< Gossip addresses of some other nodes.
   MembershipSettings membership;
-  FanoutSettings fanout;
+  FanoutSettings fanout = RelayFanout();
   std::size_t relay_threshold = 8;  ///< Fewer members in a data centre use no relays.
   Duration ack_period = std::chrono::seconds(2);
   Duration source_timeout = std::chrono::seconds(3);  ///< Without a beat.
