Calls: callers that come back count their objective from their first attempt

A caller with less time left than others of its route has spent the difference before. Admission keeps a margin of one mean deviation; Retry-After grows by the share refused lately.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -142,7 +142,7 @@
 bool AdmissionControl::MeetsObjective(const AdmissionRequest& request, Duration wait,
                                       SteadyTime now) const {
   return !request.objective ||
-         *request.objective - now >= wait + times_.Expected(request.work);
+         *request.objective - now >= wait + times_.Usual(request.work);
 }
 
 Duration AdmissionControl::RetryAfter(SteadyTime now) const {
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -10,6 +10,7 @@
 #include "calls/attempt_table.h"
 #include "calls/backend_gate.h"
 #include "calls/call_dialect.h"
+#include "calls/caller_patience.h"
 #include "calls/call_path.h"
 #include "calls/drain_gate.h"
 #include "calls/load_table.h"
@@ -49,6 +50,7 @@
   LoadTable loads;
   RetryBudgets budgets;
   RefusalRates refusals;
+  CallerPatience patience;
   AttemptTable attempts;
   BackendGate gate;
   DrainGate drain;
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -92,6 +92,10 @@
   }
   const auto timeout = std::chrono::milliseconds(route_->timeout_ms());
   asks_for_slot_ = route_->objective_ms() > 0;
+  if (terms_.remaining) {
+    spent_before_ = context_->patience.SpentBefore(route_->name(), *terms_.remaining,
+                                                   context_->Now());
+  }
   StartDeadline(std::min(
       terms_.remaining.value_or(kLongestWait),
       route_->timeout_ms() == 0 ? context_->options.default_timeout : Duration(timeout)));
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -133,6 +133,12 @@
   bool asks_for_slot_ = false;  ///< Attempts are refused where they would wait.
   std::vector<FullInstance> full_;
   SteadyTime started_;
+  Duration spent_before_{};  ///< By the caller, on earlier attempts.
+
+  /// When an answer begins to be worth little to the caller.
+  SteadyTime Objective() const {
+    return started_ - spent_before_ + std::chrono::milliseconds(route_->objective_ms());
+  }
   std::shared_ptr<KeyGuard> guard_;  ///< Of a non-idempotent request.
 };
 
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -120,8 +120,7 @@
   const FullInstance full = *shortest;
   full_.erase(shortest);
   last_refusal_ = {ResultCode::kServerFull, true, full.wait};
-  const Duration objective = std::chrono::milliseconds(route_->objective_ms());
-  if (context_->Now() + full.wait > started_ + objective) return nullptr;
+  if (context_->Now() + full.wait > Objective()) return nullptr;
   for (const BackendTarget* target : matcher_->Targets(service_)) {
     if (target->instance != full.instance || target->state != SERVER_UP) continue;
     context_->loads.Begin(*target);
@@ -167,9 +166,7 @@
   head.caller_service = context_->options.service;
   head.route = route_->name();
   if (route_->objective_ms() > 0) {
-    const SteadyTime objective =
-        started_ + std::chrono::milliseconds(route_->objective_ms());
-    head.objective = std::max(Duration::zero(), objective - context_->Now());
+    head.objective = std::max(Duration::zero(), Objective() - context_->Now());
   }
   if (asks_for_slot_) head.max_wait = Duration::zero();
   head.priority = route_->priority();
--- a/src/libquetzal/calls/refusal_rates.cc
+++ b/src/libquetzal/calls/refusal_rates.cc
@@ -15,8 +15,9 @@
 constexpr Duration kShortest = std::chrono::milliseconds(50);
 constexpr Duration kLongest = std::chrono::seconds(5);
 
-/// Tries that a caller is told to expect at most.
-constexpr double kMostTries = 10;
+/// Room is there again when the load falls. How long that takes is not known; this, by the
+/// share that is refused, keeps those who come back from taking it all.
+constexpr std::chrono::duration<double> kOverload{2.0};
 
 }  // namespace
 
@@ -30,21 +31,18 @@
 
 Duration RefusalRates::RetryAfter(const std::string& service, Duration wait,
                                   SteadyTime now) const {
-  double tries = 1;
+  double refused = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto it = rates_.find(service);
     if (it != rates_.end()) {
       Rate rate = it->second;
       Age(now, &rate);
-      const double served = rate.all - rate.refused + kFewRequests;
-      tries = std::min(kMostTries, (rate.all + kFewRequests) / served);
+      refused = rate.refused / (rate.all + kFewRequests);
     }
   }
-  const auto scaled =
-      std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(
-          static_cast<double>(wait.count()) * tries));
-  return std::clamp(scaled, kShortest, kLongest);
+  const auto pause = std::chrono::duration_cast<Duration>(kOverload * refused);
+  return std::clamp(wait + pause, kShortest, kLongest);
 }
 
 void RefusalRates::Age(SteadyTime now, Rate* rate) {
--- a/src/libquetzal/calls/service_times.h
+++ b/src/libquetzal/calls/service_times.h
@@ -20,12 +20,22 @@
   /// zero while nothing is.
   Duration Expected(const std::string& work) const;
 
+  /// A time that most requests of this kind do not exceed.
+  Duration Usual(const std::string& work) const;
+
   /// Over all kinds.
-  Duration mean() const { return mean_; }
+  Duration mean() const { return all_.mean; }
 
  private:
-  Duration mean_{};
-  std::unordered_map<std::string, Duration> by_work_;
+  struct Average {
+    Duration mean{};
+    Duration deviation{};
+  };
+  static void Add(Duration time, Average* average);
+  const Average& Of(const std::string& work) const;
+
+  Average all_;
+  std::unordered_map<std::string, Average> by_work_;
 };
 
 }  // namespace quetzal
--- a/tests/calls/load_decisions_test.cc
+++ b/tests/calls/load_decisions_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "calls/admission_control.h"
+#include "calls/caller_patience.h"
 #include "calls/load_table.h"
 #include "calls/refusal_rates.h"
 #include "calls/retry_budgets.h"
@@ -152,7 +153,7 @@
   for (int n = 0; n < 100; ++n) rates.Note("calm", false, now);
   for (int n = 0; n < 100; ++n) rates.Note("full", n % 4 != 0, now);
   EXPECT_LT(rates.RetryAfter("calm", milliseconds(100), now), milliseconds(110));
-  EXPECT_GT(rates.RetryAfter("full", milliseconds(100), now), milliseconds(300));
+  EXPECT_GT(rates.RetryAfter("full", milliseconds(100), now), seconds(1));
   EXPECT_LT(rates.RetryAfter("full", milliseconds(100), now + seconds(10)),
             milliseconds(110))
       << "a burst is forgotten";
@@ -160,6 +161,26 @@
   EXPECT_GE(rates.RetryAfter("new", Duration::zero(), now), milliseconds(50));
 }
 
+// Pattern: refused callers come back beside new ones.
+TEST(CallerPatienceTest, ACallerWithLessTimeLeftHasSpentTheRest) {
+  CallerPatience patience;
+  const SteadyTime now = SteadyTime(seconds(100));
+  EXPECT_EQ(patience.SpentBefore("views", milliseconds(800), now), Duration::zero());
+  EXPECT_EQ(patience.SpentBefore("views", milliseconds(550), now), milliseconds(250));
+  EXPECT_EQ(patience.SpentBefore("orders", milliseconds(550), now), Duration::zero());
+  EXPECT_EQ(patience.SpentBefore("views", milliseconds(800), now), Duration::zero());
+}
+
+TEST(CallerPatienceTest, WhatCallersUsedToWaitIsForgotten) {
+  CallerPatience patience;
+  const SteadyTime now = SteadyTime(seconds(100));
+  patience.SpentBefore("views", milliseconds(800), now);
+  EXPECT_EQ(patience.SpentBefore("views", milliseconds(300), now + seconds(15)),
+            milliseconds(500));
+  EXPECT_EQ(patience.SpentBefore("views", milliseconds(300), now + seconds(30)),
+            Duration::zero());
+}
+
 // Pattern: all servers of a service fail at once, seen by all nodes.
 TEST(RetryBudgetsTest, NodesTogetherStayWithinTheSharedBudget) {
   constexpr std::uint32_t kNodes = 12;
