--- a/src/libquetzal/calls/retry_budgets.cc
+++ b/src/libquetzal/calls/retry_budgets.cc
@@ -12,7 +12,7 @@
 /// Parts of the shared burst and share that are handed out. Repeated runs make calls of
 /// their own, which count as repeats at the services that they call.
 constexpr std::uint64_t kBurstPartPercent = 50;
-constexpr std::uint32_t kSharePartPercent = 65;
+constexpr std::uint32_t kSharePartPercent = 50;
 
 }  // namespace
 
