--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -39,7 +39,7 @@
        "Found a new group when every control instance has an empty folder."},
       {"data-folder", K::kFolder, "", "", 0, 0, true, "Folder of the durable log."},
       {"log-file", K::kText, "", "", 0, 0, false,
-       "File for the JSON lines; empty: standard error."},
+       "File for the JSON lines; empty: standard error; -: standard output."},
       {"workers", K::kInteger, "", "2", 1, 64, false, "Worker threads."},
       {"proxy-lease-ms", K::kMillis, "ms", "8000", 1000, 600000, false,
        "Silence after which a proxy is not waited for; longer than the period of "
--- a/src/libquetzal/calls/retry_budgets.cc
+++ b/src/libquetzal/calls/retry_budgets.cc
@@ -10,9 +10,10 @@
 constexpr std::uint64_t kOwnStart = 10 * kRetry;
 
 /// Parts of the shared burst and share that are handed out. Repeated runs make calls of
-/// their own, which count as repeats at the services that they call.
+/// their own, which count as repeats at the services that they call; these are not more
+/// than all calls of a service, so that half is left for them.
 constexpr std::uint64_t kBurstPartPercent = 50;
-constexpr std::uint32_t kSharePartPercent = 50;
+constexpr std::uint64_t kSharePartPercent = 50;
 
 }  // namespace
 
@@ -29,7 +30,7 @@
   std::uint64_t& tokens = TokensLocked(service);
   tokens = std::min(
       MostLocked(),
-      tokens + (shared_burst_ > 0 ? percent_ * kSharePartPercent / kRetry : percent));
+      tokens + (shared_burst_ > 0 ? kSharePartPercent * percent_ / kRetry : percent));
 }
 
 bool RetryBudgets::Spend(const std::string& service) {
@@ -42,7 +43,7 @@
 
 std::uint64_t RetryBudgets::MostLocked() const {
   if (shared_burst_ == 0) return kOwnMost;
-  return std::max(kRetry, shared_burst_ * kBurstPartPercent / nodes_);
+  return std::max(kRetry, kBurstPartPercent * shared_burst_ / nodes_);
 }
 
 std::uint64_t& RetryBudgets::TokensLocked(const std::string& service) {
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/hybrid_clock.h"
+#include "base/limited_event_log.h"
 #include "base/result_code.h"
 #include "node/node.h"
 #include "node/node_settings.h"
@@ -16,7 +17,8 @@
   GlogEventLog events(
       {"quetzal-node", settings.Text("instance"), settings.Text("data-centre")},
       settings.Text("log-file"), &clock, &hybrid_clock);
-  Node node(settings, &clock, &hybrid_clock, &events);
+  LimitedEventLog limited(&events, &clock, {});
+  Node node(settings, &clock, &hybrid_clock, &limited);
   std::cout << node.Addresses() << std::endl;
   node.WaitForStopSignal();
   const std::uint64_t cut = node.Stop();
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -53,7 +53,7 @@
            "Retries of all nodes together beyond the share; 0: the policy of the "
            "configuration counts."},
           {"log-file", K::kText, "", "", 0, 0, false,
-           "File for the events; standard error when empty."},
+           "File for the events; empty: standard error; -: standard output."},
           {"workers", K::kInteger, "threads", "2", 1, 64, false,
            "Threads that do the work."},
           {"drain-limit-ms", K::kMillis, "ms", "30000", 0, 600000, false,
@@ -65,7 +65,8 @@
           {"max-callers", K::kInteger, "connections", "2048", 1, 100000, false,
            "Connections of callers at once."},
           {"half-close-cancels", K::kFlag, "", "false", 0, 0, false,
-           "A caller that ends its side of a connection amid a request has gone; otherwise "
+           "A caller that ends its side of a connection amid a request has gone; "
+           "otherwise "
            "it still reads the answer."},
           {"call-timeout-ms", K::kMillis, "ms", "30000", 10, 3600000, false,
            "Time limit of requests whose route has none."},
--- a/src/plugins/log_glog/glog_event_log.cc
+++ b/src/plugins/log_glog/glog_event_log.cc
@@ -13,15 +13,14 @@
 /// glog's own line prefix is not JSON, so the sink writes the message alone.
 class GlogEventLog::Sink final : public google::LogSink {
  public:
-  explicit Sink(const std::string& file)
-      : file_(file.empty() ? stderr : std::fopen(file.c_str(), "ae")) {
+  explicit Sink(const std::string& file) : file_(Open(file)) {
     if (file_ == nullptr) {
       throw Error(ResultCode::kFolderMissing, "cannot open the log file " + file);
     }
   }
 
   ~Sink() override {
-    if (file_ != stderr) std::fclose(file_);
+    if (file_ != stderr && file_ != stdout) std::fclose(file_);
   }
 
   Sink(const Sink&) = delete;
@@ -38,6 +37,11 @@
   }
 
  private:
+  static std::FILE* Open(const std::string& file) {
+    if (file.empty()) return stderr;
+    return file == "-" ? stdout : std::fopen(file.c_str(), "ae");
+  }
+
   std::mutex mutex_;
   std::FILE* file_;
 };
