Control: an instance without a successor stays in the group for ten minutes

An instance that was taken out cannot come back with its folder, and a group of four loses more by that than by waiting.

--- a/src/libquetzal/control/group_repair.cc
+++ b/src/libquetzal/control/group_repair.cc
@@ -21,21 +21,13 @@
     const std::vector<GroupMember>& group,
     const std::vector<ControlMembership::Peer>& controls, const IsGone& is_gone,
     SteadyTime now) {
-  for (const GroupMember& member : group) {
-    if (member.answers) {
-      silent_since_.erase(member.name);
-    } else {
-      silent_since_.try_emplace(member.name, now);
-    }
-  }
+  Note(group, now);
   MembershipChange change;
   // An instance that is gone makes room first: with it, a majority needs more of the
   // rest.
   for (const GroupMember& member : group) {
-    const auto silent = silent_since_.find(member.name);
-    if (group.size() <= settings_.smallest || silent == silent_since_.end()) continue;
-    if (now - silent->second < settings_.silence || !is_gone(member.name)) continue;
-    if (!MayTry(member.name, now)) continue;
+    if (group.size() <= settings_.smallest || !IsLost(member.name, now)) continue;
+    if (!is_gone(member.name) || !MayTry(member.name, now)) continue;
     change.kind = MembershipChangeKind::kRemove;
     change.name = member.name;
     return change;
@@ -51,6 +43,30 @@
   return std::nullopt;
 }
 
+void GroupRepair::Note(const std::vector<GroupMember>& group, SteadyTime now) {
+  for (const GroupMember& member : group) {
+    joined_at_.try_emplace(member.name, now);
+    if (member.answers) {
+      silent_since_.erase(member.name);
+    } else {
+      silent_since_.try_emplace(member.name, now);
+    }
+  }
+}
+
+bool GroupRepair::HasSuccessor(SteadyTime silent_since) const {
+  return std::any_of(joined_at_.begin(), joined_at_.end(),
+                     [&](const auto& joined) { return joined.second > silent_since; });
+}
+
+bool GroupRepair::IsLost(const std::string& name, SteadyTime now) const {
+  const auto silent = silent_since_.find(name);
+  if (silent == silent_since_.end()) return false;
+  const Duration limit =
+      HasSuccessor(silent->second) ? settings_.silence : settings_.long_silence;
+  return now - silent->second >= limit;
+}
+
 void GroupRepair::Refused(const MembershipChange& change, SteadyTime now) {
   not_before_[change.name] = now + settings_.retry;
 }
--- a/src/libquetzal/control/group_repair.h
+++ b/src/libquetzal/control/group_repair.h
@@ -24,10 +24,14 @@
   /// A group of this size or less loses no instance that may come back.
   std::size_t smallest = 3;
 
-  /// Silence after which an instance that its data centre took for dead is taken out;
-  /// longer than a restart.
+  /// Silence after which an instance that its data centre took for dead is taken out once
+  /// another has joined since; longer than a restart.
   Duration silence = std::chrono::seconds(6);
 
+  /// The same where none has joined. An instance that was taken out cannot come back with
+  /// its folder, so this is longer than a repair.
+  Duration long_silence = std::chrono::minutes(10);
+
   /// Pause after a change that was refused.
   Duration retry = std::chrono::seconds(5);
 };
@@ -51,9 +55,13 @@
   void Refused(const MembershipChange& change, SteadyTime now);
 
  private:
+  void Note(const std::vector<GroupMember>& group, SteadyTime now);
+  bool HasSuccessor(SteadyTime silent_since) const;
+  bool IsLost(const std::string& name, SteadyTime now) const;
   bool MayTry(const std::string& name, SteadyTime now) const;
 
   const GroupRepairSettings settings_;
+  std::map<std::string, SteadyTime> joined_at_;  ///< When they were first seen here.
   std::map<std::string, SteadyTime> silent_since_;
   std::map<std::string, SteadyTime> not_before_;
 };
--- a/tests/control/group_repair_test.cc
+++ b/tests/control/group_repair_test.cc
@@ -52,11 +52,23 @@
   EXPECT_EQ(Next(), "") << "two of three still agree";
 }
 
+TEST_F(GroupRepairTest, ALargerGroupKeepsWhoMayComeBackToo) {
+  Join("d");
+  Next();
+  Lose("b");
+  EXPECT_EQ(Next(), "");
+  clock_.Advance(seconds(60));
+  EXPECT_EQ(Next(), "") << "nobody has joined since it fell silent";
+  clock_.Advance(std::chrono::minutes(10));
+  EXPECT_EQ(Next(), "-b");
+}
+
 TEST_F(GroupRepairTest, ASuccessorIsTakenInBeforeItsPredecessorIsTakenOut) {
   Lose("b");
   EXPECT_EQ(Next(), "");
   controls_.push_back({"d", {"127.0.0.1", 4}});
   EXPECT_EQ(Next(), "+d");
+  clock_.Advance(milliseconds(500));
   group_.push_back({"d", {"127.0.0.1", 4}, true, true});
   EXPECT_EQ(Next(), "") << "it may only have restarted";
   clock_.Advance(seconds(7));
@@ -72,10 +84,12 @@
 }
 
 TEST_F(GroupRepairTest, AnAnswerEndsTheSilence) {
-  Join("d");
   Lose("b");
   Next();
-  clock_.Advance(seconds(5));
+  clock_.Advance(seconds(1));
+  Join("d");
+  Next();
+  clock_.Advance(seconds(4));
   group_[1].answers = true;
   Next();
   group_[1].answers = false;
