--- a/src/libquetzal/calls/caller_patience.h
+++ b/src/libquetzal/calls/caller_patience.h
@@ -15,8 +15,8 @@
 /// threads.
 class CallerPatience {
  public:
-  /// A caller of `route` waits for `remaining` from `now` on. Returns the time that it has
-  /// spent before; zero when most callers state as much.
+  /// A caller of `route` waits for `remaining` from `now` on. Returns the time that it
+  /// has spent before; zero when most callers state as much.
   Duration SpentBefore(const std::string& route, Duration remaining, SteadyTime now);
 
  private:
--- a/src/libquetzal/calls/refusal_rates.cc
+++ b/src/libquetzal/calls/refusal_rates.cc
@@ -15,8 +15,8 @@
 constexpr Duration kShortest = std::chrono::milliseconds(50);
 constexpr Duration kLongest = std::chrono::seconds(5);
 
-/// Room is there again when the load falls. How long that takes is not known; this, by the
-/// share that is refused, keeps those who come back from taking it all.
+/// Room is there again when the load falls. How long that takes is not known; this, by
+/// the share that is refused, keeps those who come back from taking it all.
 constexpr std::chrono::duration<double> kOverload{2.0};
 
 }  // namespace
--- a/src/plugins/http1_beast/http1_server_connection.cc
+++ b/src/plugins/http1_beast/http1_server_connection.cc
@@ -24,9 +24,7 @@
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Methods whose requests a caller may send behind one another and send again.
-bool IsSafeMethod(std::string_view method) {
-  return method == "GET" || method == "HEAD";
-}
+bool IsSafeMethod(std::string_view method) { return method == "GET" || method == "HEAD"; }
 
 /// True when a request that begins with `bytes` has a safe method.
 bool BeginsSafely(std::string_view bytes) {
--- a/src/plugins/http1_beast/http1_server_connection.h
+++ b/src/plugins/http1_beast/http1_server_connection.h
@@ -86,13 +86,13 @@
   const std::shared_ptr<Http1Host> host_;
   State state_ = State::kOpen;
   std::unique_ptr<Http1Parser> parser_;
-  std::string stash_;                     ///< Bytes that wait to be parsed.
-  std::deque<ExchangePtr> exchanges_;     ///< In the order of their requests.
-  ExchangePtr reading_;                   ///< Its body is being read.
-  std::optional<ResultCode> refusal_;     ///< Told after the exchanges before it.
-  std::size_t held_ = 0;                  ///< Body bytes delivered and not consumed.
-  bool closing_ = false;                  ///< No further request is read.
-  bool head_deadline_ = false;            ///< The deadline is that of a head.
+  std::string stash_;                  ///< Bytes that wait to be parsed.
+  std::deque<ExchangePtr> exchanges_;  ///< In the order of their requests.
+  ExchangePtr reading_;                ///< Its body is being read.
+  std::optional<ResultCode> refusal_;  ///< Told after the exchanges before it.
+  std::size_t held_ = 0;               ///< Body bytes delivered and not consumed.
+  bool closing_ = false;               ///< No further request is read.
+  bool head_deadline_ = false;         ///< The deadline is that of a head.
 };
 
 }  // namespace quetzal
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -130,8 +130,7 @@
   first.handler->WaitEnd();
   EXPECT_EQ(requests_, 1);
   first.stream->SendHeaders({{":status", "204"}, {"connection", "close"}}, true);
-  EXPECT_EQ(caller.ReadAll(),
-            "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
+  EXPECT_EQ(caller.ReadAll(), "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
   EXPECT_EQ(requests_, 1);
 }
 
@@ -169,8 +168,8 @@
   const auto handler = std::make_shared<RecordingHandler>();
   std::shared_ptr<Stream> kept;
   const Endpoint endpoint = server.Listen(
-      {"127.0.0.1", 0}, [&](const std::string&, const StreamHeaders&,
-                            std::shared_ptr<Stream> stream) {
+      {"127.0.0.1", 0},
+      [&](const std::string&, const StreamHeaders&, std::shared_ptr<Stream> stream) {
         kept = std::move(stream);
         return handler;
       });
