Calls: 'not run' is said only when no attempt may have run

Cause, found in reading the change and by tests that failed first: a read whose first attempt was lost after it was sent, and whose next attempts met full or unreachable instances, was told 'not run' (503), though it may have run. One function now remembers refusals; a refused retry never undoes an earlier attempt. Orders were not affected: they are not tried again after such an attempt.

--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -65,6 +65,7 @@
   void EndAttempt(AttemptEnd end);
   bool MayRetry(bool is_paid);
   bool IsPaid(const Refusal& refusal) const;
+  void RememberRefusal(const Refusal& refusal);
   void RetryOrRefuse(const Refusal& refusal);
 
   // The attempt's stream.
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -119,7 +119,7 @@
                        [](const auto& a, const auto& b) { return a.wait < b.wait; });
   const FullInstance full = *shortest;
   full_.erase(shortest);
-  last_refusal_ = {ResultCode::kServerFull, true, full.wait};
+  RememberRefusal({ResultCode::kServerFull, true, full.wait});
   if (context_->Now() + full.wait > Objective()) return nullptr;
   for (const BackendTarget* target : matcher_->Targets(service_)) {
     if (target->instance != full.instance || target->state != SERVER_UP) continue;
@@ -201,11 +201,15 @@
   return !IsRedirect(refusal.code);
 }
 
-void CallerCall::RetryOrRefuse(const Refusal& refusal) {
-  // A refused retry does not undo an earlier attempt that may have run.
+/// A refused retry does not undo an earlier attempt that may have run.
+void CallerCall::RememberRefusal(const Refusal& refusal) {
   const bool may_have_run =
       last_refusal_.code != ResultCode::kOk && !last_refusal_.not_run;
   if (!may_have_run || !refusal.not_run) last_refusal_ = refusal;
+}
+
+void CallerCall::RetryOrRefuse(const Refusal& refusal) {
+  RememberRefusal(refusal);
   if (refusal.reached_server) ++servers_reached_;
   const bool may_repeat = last_refusal_.not_run || route_->idempotent();
   if (may_repeat && MayRetry(IsPaid(refusal))) return NextAttempt();
@@ -268,9 +272,10 @@
 void CallerCall::AttemptLost(ResultCode code) {
   EndAttempt(AttemptEnd::kFailed);
   const bool not_sent = code == ResultCode::kConnectFailed;
-  last_refusal_ = {not_sent ? code : ResultCode::kAnswerCut, not_sent, kRetryAfter,
-                   !not_sent};
+  const Refusal refusal{not_sent ? code : ResultCode::kAnswerCut, not_sent, kRetryAfter,
+                        !not_sent};
   if (guard_) {
+    last_refusal_ = refusal;
     if (answer_.told()) answer_.Cut();
     answer_.Discard();
     phase_ = Phase::kOutcome;
@@ -281,7 +286,7 @@
     return Over();
   }
   answer_.Discard();
-  RetryOrRefuse(last_refusal_);
+  RetryOrRefuse(refusal);
 }
 
 void CallerCall::OnClaimed() {
--- a/tests/calls/keyless_call_test.cc
+++ b/tests/calls/keyless_call_test.cc
@@ -114,6 +114,42 @@
   EXPECT_NE(HeaderValue(log->headers, "retry-after"), "");
 }
 
+// Patterns: one server fails what it runs while the others are full, or cannot be
+// reached.
+class KeylessNotRunTest : public KeylessCallTest {
+ protected:
+  /// Sends reads to node 0 and checks that none is told "not run" after it has run.
+  void CheckReads() {
+    world_.servers[0]->behaviour = Behaviour::kReadAndClose;
+    std::vector<std::shared_ptr<CallerLog>> logs;
+    for (int n = 0; n < 40; ++n) {
+      logs.push_back(world_.Report(0, "read " + std::to_string(n)));
+      world_.Run(milliseconds(20));
+    }
+    world_.Run(std::chrono::seconds(6));
+    int failed_after_a_run = 0;
+    for (int n = 0; n < 40; ++n) {
+      if (world_.runs("read " + std::to_string(n)) == 0) continue;
+      EXPECT_FALSE(logs[n]->told_not_run()) << n;
+      failed_after_a_run += logs[n]->result() != 0 ? 1 : 0;
+    }
+    EXPECT_GT(failed_after_a_run, 0);
+  }
+};
+
+TEST_F(KeylessNotRunTest, TheOthersAreFull) {
+  SetAll(Behaviour::kHang);
+  world_.servers[0]->behaviour = Behaviour::kReadAndClose;
+  for (int n = 0; n < 24; ++n) world_.Report(n % 4, "fills " + std::to_string(n));
+  world_.Run(milliseconds(20));
+  CheckReads();
+}
+
+TEST_F(KeylessNotRunTest, TheOthersCannotBeReached) {
+  for (std::size_t n = 1; n < 4; ++n) world_.Kill(n);
+  CheckReads();
+}
+
 TEST_F(KeylessCallTest, SharesAreKeptWhileAPartHasNoServer) {
   Service* other = world_.configuration.add_services();
   other->set_name("empty");
