--- a/tests/control/order_service_test.cc
+++ b/tests/control/order_service_test.cc
@@ -22,8 +22,8 @@
 class OrderServiceTest : public testing::Test {
  protected:
   struct Instance {
-    Instance(const std::string& name, std::uint16_t port, std::vector<Endpoint> peers,
-             OrderServiceTest* test)
+    Instance(const std::string& name, std::uint16_t port,
+             const std::vector<Endpoint>& peers, OrderServiceTest* test)
         : control(name, {"127.0.0.1", port}, &test->log_, &test->network_, {},
                   &test->clock_, &test->executor_),
           orders({&control.agreement, &control.machine, &control.rpc, &control.rpc,
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -165,7 +165,7 @@
   Http1Options options;
   options.half_close_cancels = true;
   Http1Transport server{&workers, options};
-  const auto handler = std::make_shared<RecordingHandler>();
+  auto handler = std::make_shared<RecordingHandler>();
   std::shared_ptr<Stream> kept;
   const Endpoint endpoint = server.Listen(
       {"127.0.0.1", 0},
