HTTP/1.1: a connection whose idle limit leaves no time is not kept

Cause: a peer's timeout=1 less the margin of 1 s gave a limit of zero; the connection was parked until its timer fired, and a request that came at once could still use it. Now such a connection is closed at once; 40 runs of the client tests pass.

--- a/src/plugins/http1_beast/http1_client_connection.cc
+++ b/src/plugins/http1_beast/http1_client_connection.cc
@@ -199,8 +199,9 @@
   --host_->open_streams;
   const auto handler = std::move(stream->handler);
   stream->Detach();
-  const bool clean = keep_alive_ && request_done_ && !leftover && !stream->fresh &&
-                     !output_pending() && !read_ended();
+  const bool lasts = IdleLimit() > Duration::zero();
+  const bool clean = lasts && keep_alive_ && request_done_ && !leftover &&
+                     !stream->fresh && !output_pending() && !read_ended();
   if (clean) {
     parser_.reset();
     SetDeadline(IdleLimit());
