Calls: requests run after a confirmation; silent instances and data centres are avoided

A request was sent whole, so that nothing proved that it had not run when its stream hung; each node needed 1.3 to 3 s to avoid each remote instance, and the rule that more than half of the instances must not be avoided brought the unreachable ones back. Ruled out: load (other seconds lose under 4%), membership (it marks the cut data centre after the first seconds only).

Change: an admitting node answers a keyless request with 102 (received, waits) or 100 (slot held); the origin sends body and end only then. Without a receipt in 0.3 s (a quarter of the time left at most) the request goes elsewhere; it cannot have run. Silent instances are tried by one request in 0.5 s; three of one data centre, with none heard since, stand for all of it.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -14,6 +14,10 @@
 /// becomes known.
 constexpr Duration kOutcomeGrace = std::chrono::seconds(30);
 
+/// How long a slot is held for a request that its forwarding node has not confirmed: some
+/// retransmissions on a link that loses packets.
+constexpr Duration kConfirmLimit = std::chrono::milliseconds(600);
+
 }  // namespace
 
 class BackendCall::BackendHandler final : public StreamHandler {
@@ -105,6 +109,14 @@
       request, [call = shared_from_this()](const AdmissionVerdict& verdict) {
         call->queue_.Run([call, verdict] { call->OnVerdict(verdict); });
       });
+  // A verdict that was given at once stands before this in the queue.
+  queue_.Run([call = shared_from_this()] { call->TellWaiting(); });
+}
+
+void BackendCall::TellWaiting() {
+  if (phase_ == Phase::kWaiting && head_.expects_continue) {
+    SendInterim(kStatusProcessing);
+  }
 }
 
 Refusal BackendCall::Check() {
@@ -133,15 +145,40 @@
   const bool admitted = verdict.code == ResultCode::kOk;
   holds_slot_ = admitted;
   if (phase_ != Phase::kWaiting) return ReleaseSlot(false);
-  if (admitted) return Send();
+  if (admitted) return head_.expects_continue ? Grant() : Send();
   ++context_->shed;
   Refuse(verdict.code, true, verdict.retry_after);
 }
 
+/// Until the forwarding node confirms, both sides know that the request has not run, also
+/// when either of them or the link between them fails.
+void BackendCall::Grant() {
+  phase_ = Phase::kGranted;
+  SendInterim(kStatusContinue);
+  timer_ = context_->deps.executor->After(kConfirmLimit, [weak = weak_from_this()] {
+    auto call = weak.lock();
+    if (call) call->queue_.Run([call] { call->ConfirmationOverdue(); });
+  });
+}
+
+void BackendCall::ConfirmationOverdue() {
+  if (phase_ == Phase::kGranted) Refuse(ResultCode::kTimeout, true, {});
+}
+
+void BackendCall::SendInterim(const char* status) {
+  StreamHeaders headers = {{":status", status}};
+  AddLoad(context_->gate.load(), &headers);
+  peer_->SendHeaders(std::move(headers), false);
+}
+
 void BackendCall::Send() {
+  timer_.reset();
+  sent_at_ = context_->Now();
+  if (head_.expects_continue && sent_at_ >= deadline_) {
+    return Refuse(ResultCode::kDeadlineExceeded, true, {});
+  }
   ++context_->admitted;
   phase_ = Phase::kSent;
-  sent_at_ = context_->Now();
   if (keyed()) {
     context_->deps.events->Emit({"call.admitted",
                                  {{"key", std::string(HeaderValue(fields_, kKeyHeader))},
@@ -191,6 +228,7 @@
   owed_to_peer_ += bytes.size();
   if (!backend_) {
     body_.push_back(std::move(bytes));
+    if (phase_ == Phase::kGranted) Send();
     return;
   }
   backend_->SendData(std::move(bytes), false);
@@ -200,6 +238,7 @@
 void BackendCall::TakeBodyEnd() {
   if (phase_ == Phase::kOver) return;
   body_ended_ = true;
+  if (phase_ == Phase::kGranted) return Send();
   if (backend_) backend_->SendData({}, true);
 }
 
@@ -217,6 +256,10 @@
     context_->gate.Cancel(admission_id_);
     return Over();
   }
+  if (phase_ == Phase::kGranted) {
+    ReleaseSlot(false);
+    return Over();
+  }
   // A keyed request that the server has whole runs anyway; its outcome is worth knowing.
   if (keyed() && body_ended_) return ReturnBackendCredit();
   if (backend_) backend_->Reset();
@@ -332,6 +375,7 @@
 
 void BackendCall::Refuse(ResultCode code, bool not_run, Duration retry_after) {
   EndAttempt(not_run ? AttemptState::kNotRun : AttemptState::kUnknown);
+  ReleaseSlot(false);
   if (!peer_gone_) {
     peer_->SendHeaders(EncodeRefusal({code, not_run, retry_after, reached_server_},
                                      context_->gate.load()),
--- a/src/libquetzal/calls/backend_call.h
+++ b/src/libquetzal/calls/backend_call.h
@@ -37,12 +37,17 @@
 
  private:
   class BackendHandler;
-  enum class Phase { kNew, kWaiting, kSent, kAnswering, kOver };
+  /// kGranted: holds a slot until the forwarding node confirms the request.
+  enum class Phase { kNew, kWaiting, kGranted, kSent, kAnswering, kOver };
 
   void Start();
   bool keyed() const { return !head_.attempt_id.empty(); }
   Refusal Check();
   void OnVerdict(const AdmissionVerdict& verdict);
+  void TellWaiting();
+  void Grant();
+  void ConfirmationOverdue();
+  void SendInterim(const char* status);
   void Send();
   StreamHeaders BackendHeaders() const;
 
--- a/src/libquetzal/calls/call_headers.cc
+++ b/src/libquetzal/calls/call_headers.cc
@@ -26,6 +26,8 @@
 constexpr char kViaField[] = "x-qz-via";
 constexpr char kLoadField[] = "x-qz-load";
 constexpr char kRefusalField[] = "x-qz-refusal";
+constexpr char kExpectField[] = "x-qz-expect";
+constexpr char kExpectContinue[] = "continue";
 
 constexpr std::uint64_t kMaxRemainingNs = 24ULL * 3600 * 1'000'000'000;
 constexpr std::uint64_t kMaxHops = 1'000'000;
@@ -139,6 +141,7 @@
     headers.emplace_back(kAttemptField, head.attempt_id);
     headers.emplace_back(kIncarnationField, std::to_string(head.incarnation));
   }
+  if (head.expects_continue) headers.emplace_back(kExpectField, kExpectContinue);
   headers.insert(headers.end(), fields.begin(), fields.end());
   return headers;
 }
@@ -156,6 +159,7 @@
   head.objective = ParseMicros(HeaderValue(headers, kObjectiveField));
   head.max_wait = ParseMicros(HeaderValue(headers, kMaxWaitField));
   head.idempotent = HeaderValue(headers, kIdempotentField) == "1";
+  head.expects_continue = HeaderValue(headers, kExpectField) == kExpectContinue;
   const auto priority = ParseNumber(HeaderValue(headers, kPriorityField), kMaxCount);
   const auto remaining =
       ParseNumber(HeaderValue(headers, kRemainingField), kMaxRemainingNs);
--- a/src/libquetzal/calls/call_headers.h
+++ b/src/libquetzal/calls/call_headers.h
@@ -42,8 +42,13 @@
   std::optional<Duration> max_wait;   ///< Expected wait beyond which it is refused.
   int hops = 0;
   std::string via;
+  bool expects_continue = false;  ///< It runs only once its sender has confirmed it.
 };
 
+/// Statuses of the headers that precede an answer, as of RFC 9110 and RFC 2518.
+inline constexpr char kStatusContinue[] = "100";    ///< A slot is held: confirm.
+inline constexpr char kStatusProcessing[] = "102";  ///< Received; waits for a slot.
+
 /// Load of a backend server as its own node reports it on every answer.
 struct LoadReport {
   std::uint32_t outstanding = 0;  ///< Requests sent and not answered.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -172,14 +172,14 @@
     if (caller_) caller_->Consume(bytes.size());
     return;
   }
-  body_.Append(std::move(bytes), attempt_.get());
+  body_.Append(std::move(bytes), BodySink());
   if (guard_) ClaimOnceBodyIsWhole();
 }
 
 void CallerCall::TakeBodyEnd() {
   caller_.reset();
   if (phase_ == Phase::kOver) return;
-  body_.End(attempt_.get());
+  body_.End(BodySink());
   if (guard_) ClaimOnceBodyIsWhole();
 }
 
@@ -201,7 +201,7 @@
   if (phase_ == Phase::kOver) return;
   if (deadline_passed_) return StopWaiting();
   deadline_passed_ = true;
-  const bool not_sent = phase_ == Phase::kBody;
+  const bool not_sent = IsUnsent();
   if (guard_ && !caller_gone_) {
     EmitKeyed(answer_.told() ? "call.cut" : "call.delivered",
               ResultCode::kDeadlineExceeded);
@@ -221,6 +221,12 @@
   });
 }
 
+bool CallerCall::IsUnsent() const {
+  if (phase_ == Phase::kBody) return true;
+  if (phase_ != Phase::kAttempt || confirmed_ || guard_) return false;
+  return last_refusal_.code == ResultCode::kOk || last_refusal_.not_run;
+}
+
 void CallerCall::StopWaiting() {
   if (attempt_) attempt_->Reset();
   EndAttempt(deadline_passed_ ? AttemptEnd::kFailed : AttemptEnd::kAbandoned);
@@ -248,6 +254,7 @@
 void CallerCall::Over() {
   phase_ = Phase::kOver;
   timer_.reset();
+  receipt_timer_.reset();
   body_.Close();
   if (guard_) guard_->Stop();
   guard_.reset();
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -74,6 +74,14 @@
   void AnswerEnd();
   void AttemptRefused(const Refusal& refusal);
   void AttemptLost(ResultCode code);
+  void InterimAnswer(const StreamHeaders& headers);
+  void Confirm();
+  void AwaitReceipt();
+  void NoReceipt();
+  /// Where the body goes: to an attempt that may run.
+  Stream* BodySink() const { return confirmed_ ? attempt_.get() : nullptr; }
+  /// True when neither this attempt nor an earlier one may have run.
+  bool IsUnsent() const;
 
   // The key's record.
   void OnClaimed() override;
@@ -121,6 +129,9 @@
   std::string service_;
   const BackendTarget* target_ = nullptr;  ///< Of the attempt on its way.
   std::shared_ptr<Stream> attempt_;
+  bool confirmed_ = false;  ///< The admitting node may run the attempt.
+  std::unique_ptr<Timer> receipt_timer_;
+  SteadyTime receipt_due_;
   int attempts_ = 0;
   std::uint32_t servers_reached_ = 0;  ///< Backend servers that have seen the request.
   std::vector<std::string> tried_;
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -17,6 +17,17 @@
 constexpr int kMaxAttemptsWithQuestions = 8;
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
+/// Time in which an instance that is well says that it has a request: a round trip, one
+/// retransmission and some waiting for its processor. Callers in a hurry wait for a part
+/// of the time that they have left.
+constexpr Duration kReceiptLimit = std::chrono::milliseconds(300);
+constexpr Duration kMinReceiptLimit = std::chrono::milliseconds(80);
+constexpr int kReceiptPartOfRemaining = 4;
+
+/// A timer that fires later than this shows that this process was kept from its work, and
+/// tells nothing about others.
+constexpr Duration kLateTimer = std::chrono::milliseconds(50);
+
 /// Redirects that say nothing about load; they are not paid from the retry budget.
 bool IsRedirect(ResultCode code) {
   return code == ResultCode::kServerLeaving || code == ResultCode::kNodeStopping ||
@@ -46,7 +57,7 @@
     Run([code](CallerCall* call) { call->AttemptLost(code); });
   }
   void OnWritable() override {
-    Run([](CallerCall* call) { call->body_.ReturnCredit(call->attempt_.get()); });
+    Run([](CallerCall* call) { call->body_.ReturnCredit(call->BodySink()); });
   }
 
  private:
@@ -145,15 +156,19 @@
 
 void CallerCall::OpenAttempt() {
   phase_ = Phase::kAttempt;
+  // Keys have records that tell later what became of an attempt; other requests run only
+  // once this node has confirmed that it still wants them to.
+  confirmed_ = !route_->keyless();
   const StreamHeaders headers = EncodeCall(MakeHead(), fields_);
-  const bool whole = body_.ended() && body_.empty();
+  const bool whole = confirmed_ && body_.ended() && body_.empty();
   auto handler = std::make_shared<AttemptHandler>(shared_from_this(), attempts_);
   attempt_ = target_->instance == context_->options.instance
                  ? context_->local_streams.Open(context_->admitting_side(),
                                                 kCallStreamPath, headers, whole, handler)
                  : context_->deps.peers->Open(target_->stream_address, kCallStreamPath,
                                               headers, whole, handler);
-  body_.SendKept(attempt_.get());
+  if (confirmed_) return body_.SendKept(attempt_.get());
+  if (target_->instance != context_->options.instance) AwaitReceipt();
 }
 
 CallHead CallerCall::MakeHead() const {
@@ -171,6 +186,7 @@
   if (asks_for_slot_) head.max_wait = Duration::zero();
   head.priority = route_->priority();
   head.remaining = std::max(Duration::zero(), deadline_ - context_->Now());
+  head.expects_continue = !confirmed_;
   head.hops = hops_;
   head.via = via_;
   if (guard_) {
@@ -185,6 +201,7 @@
   context_->loads.End(*target_, end);
   target_ = nullptr;
   attempt_.reset();
+  receipt_timer_.reset();
 }
 
 bool CallerCall::MayRetry(bool is_paid) {
@@ -218,11 +235,48 @@
 
 void CallerCall::AnswerHeaders(const StreamHeaders& headers) {
   if (const auto load = DecodeLoad(headers)) context_->loads.Report(*target_, *load);
+  if (IsInterimStatus(HeaderValue(headers, ":status"))) return InterimAnswer(headers);
   if (const auto refusal = DecodeRefusal(headers)) return AttemptRefused(*refusal);
   phase_ = Phase::kAnswer;
   answer_.Begin(headers, method_, guard_ != nullptr);
 }
 
+void CallerCall::InterimAnswer(const StreamHeaders& headers) {
+  receipt_timer_.reset();
+  if (!confirmed_ && HeaderValue(headers, ":status") == kStatusContinue) Confirm();
+}
+
+/// From here on the attempt may run.
+void CallerCall::Confirm() {
+  confirmed_ = true;
+  body_.SendKept(attempt_.get());
+  if (body_.ended() && body_.empty()) attempt_->SendData({}, true);
+}
+
+void CallerCall::AwaitReceipt() {
+  const Duration limit =
+      std::clamp((deadline_ - context_->Now()) / kReceiptPartOfRemaining,
+                 kMinReceiptLimit, kReceiptLimit);
+  receipt_due_ = context_->Now() + limit;
+  receipt_timer_ =
+      context_->deps.executor->After(limit, [weak = weak_from_this(), n = attempts_] {
+        auto call = weak.lock();
+        if (!call) return;
+        call->queue_.Run([call, n] {
+          if (call->receipt_timer_ && call->attempts_ == n) call->NoReceipt();
+        });
+      });
+}
+
+/// The instance is frozen, cut off or overloaded; without a confirmation it never runs
+/// the request.
+void CallerCall::NoReceipt() {
+  if (context_->Now() - receipt_due_ > kLateTimer) return AwaitReceipt();
+  attempt_->Reset();
+  EndAttempt(AttemptEnd::kSilent);
+  RetryOrRefuse({ResultCode::kTimeout, true, kReceiptLimit});
+}
+
 void CallerCall::AnswerData(std::string bytes) {
   if (phase_ == Phase::kAnswer) answer_.Append(std::move(bytes), attempt_.get());
 }
@@ -271,9 +325,9 @@
 
 void CallerCall::AttemptLost(ResultCode code) {
   EndAttempt(AttemptEnd::kFailed);
-  const bool not_sent = code == ResultCode::kConnectFailed;
-  const Refusal refusal{not_sent ? code : ResultCode::kAnswerCut, not_sent, kRetryAfter,
-                        !not_sent};
+  const bool not_sent = code == ResultCode::kConnectFailed || !confirmed_;
+  const Refusal refusal{not_sent ? ResultCode::kConnectFailed : ResultCode::kAnswerCut,
+                        not_sent, kRetryAfter, !not_sent};
   if (guard_) {
     last_refusal_ = refusal;
     if (answer_.told()) answer_.Cut();
--- a/src/libquetzal/calls/load_table.cc
+++ b/src/libquetzal/calls/load_table.cc
@@ -24,6 +24,14 @@
 constexpr Duration kStallAfter = std::chrono::milliseconds(300);
 constexpr int kStallServiceTimes = 4;
 
+/// One request at a time finds out whether a silent instance, or a silent data centre, is
+/// back: the time that a request waits for a receipt, and some more.
+constexpr Duration kProbePeriod = std::chrono::milliseconds(500);
+
+/// Instances of a data centre that fall silent one after another before the data centre
+/// counts as cut off: more than are stopped or frozen at once in ordinary work.
+constexpr int kSilentToCutOff = 3;
+
 /// Part of a server's slots that is taken as used when nothing newer is known.
 constexpr double kUsualUse = 0.7;
 constexpr Duration kShortestPace = std::chrono::milliseconds(50);
@@ -77,6 +85,9 @@
   Entry& entry = EntryLocked(target, now);
   if (entry.outstanding == 0) entry.waiting_since = now;
   ++entry.outstanding;
+  if (entry.silent) entry.next_probe = now + kProbePeriod;
+  Reach& reach = reach_[entry.data_centre];
+  if (reach.silent >= kSilentToCutOff) reach.next_probe = now + kProbePeriod;
 }
 
 void LoadTable::Report(const BackendTarget& target, const LoadReport& report) {
@@ -89,6 +100,7 @@
   entry.own_at_report = entry.outstanding;
   entry.reported_at = now;
   entry.waiting_since = now;
+  HearLocked(&entry);
 }
 
 void LoadTable::End(const BackendTarget& target, AttemptEnd end) {
@@ -99,6 +111,7 @@
   Entry& entry = it->second;
   if (entry.outstanding > 0) --entry.outstanding;
   if (end == AttemptEnd::kAbandoned) return;
+  if (end == AttemptEnd::kSilent) return FallSilentLocked(&entry, now);
   const bool well = end == AttemptEnd::kAnswered || end == AttemptEnd::kRefused;
   entry.success += ((well ? 1.0 : 0.0) - entry.success) * kSuccessWeight;
   if (well) entry.waiting_since = now;
@@ -146,10 +159,38 @@
     entry = Entry();
     entry.incarnation = target.incarnation;
     entry.warm_from = now;
+    entry.data_centre = target.data_centre;
   }
   return entry;
 }
 
+bool LoadTable::IsReachableLocked(const Entry& entry, SteadyTime now) const {
+  const auto it = reach_.find(entry.data_centre);
+  const bool cut_off = it != reach_.end() && it->second.silent >= kSilentToCutOff;
+  if (cut_off && now < it->second.next_probe) return false;
+  return !entry.silent || now >= entry.next_probe;
+}
+
+void LoadTable::FallSilentLocked(Entry* entry, SteadyTime now) {
+  if (entry->silent) return;
+  entry->silent = true;
+  entry->next_probe = now + kProbePeriod;
+  Reach& reach = reach_[entry->data_centre];
+  if (++reach.silent == kSilentToCutOff) reach.next_probe = now + kProbePeriod;
+}
+
+/// When one instance of a data centre that was cut off is back, the others may be too.
+void LoadTable::HearLocked(Entry* entry) {
+  Reach& reach = reach_[entry->data_centre];
+  if (reach.silent >= kSilentToCutOff) {
+    for (auto& [name, other] : entries_) {
+      if (other.data_centre == entry->data_centre) other.next_probe = SteadyTime();
+    }
+  }
+  reach.silent = 0;
+  entry->silent = false;
+}
+
 LoadTable::Candidates LoadTable::UsableLocked(const Candidates& targets,
                                               const ChoiceOptions& options,
                                               SteadyTime now) {
@@ -172,13 +213,16 @@
 
 LoadTable::Candidates LoadTable::DropEjectedLocked(const Candidates& usable,
                                                    SteadyTime now) {
+  Candidates reachable;
   Candidates kept;
   for (const BackendTarget* target : usable) {
     const Entry& entry = EntryLocked(*target, now);
+    if (!IsReachableLocked(entry, now)) continue;
+    reachable.push_back(target);
     if (now >= entry.ejected_until && !IsStalled(entry, now)) kept.push_back(target);
   }
   // When more than half would be out, the signal is not worth following.
-  return kept.size() * 2 < usable.size() ? usable : kept;
+  return kept.size() * 2 < reachable.size() ? reachable : kept;
 }
 
 /// A frozen or cut off instance is seen by this long before its connection breaks.
--- a/src/libquetzal/calls/load_table.h
+++ b/src/libquetzal/calls/load_table.h
@@ -22,6 +22,7 @@
   kRefused,     ///< A typed refusal: the node is well, its server takes no more.
   kTurnedAway,  ///< The server itself refused, though its node had a slot for it.
   kFailed,      ///< Not connected, lost, cut or timed out.
+  kSilent,      ///< Its node did not say that it has the request.
   kAbandoned,   ///< Given up by the caller; tells nothing about the server.
 };
 
@@ -73,6 +74,15 @@
     int failures = 0;          ///< In a row.
     int ejections = 0;         ///< In a row.
     SteadyTime ejected_until;
+    std::string data_centre;
+    bool silent = false;    ///< Its node did not react to the last request.
+    SteadyTime next_probe;  ///< When a silent instance is tried again.
+  };
+
+  /// Silence of a data centre as a whole, as when it is cut off.
+  struct Reach {
+    int silent = 0;  ///< Instances that fell silent since any was heard.
+    SteadyTime next_probe;
   };
   using Candidates = std::vector<const BackendTarget*>;
 
@@ -80,6 +90,9 @@
   Candidates UsableLocked(const Candidates& targets, const ChoiceOptions& options,
                           SteadyTime now);
   Candidates DropEjectedLocked(const Candidates& usable, SteadyTime now);
+  bool IsReachableLocked(const Entry& entry, SteadyTime now) const;
+  void FallSilentLocked(Entry* entry, SteadyTime now);
+  void HearLocked(Entry* entry);
   static bool IsStalled(const Entry& entry, SteadyTime now);
   void CountLocked(const BackendTarget& target, SteadyTime now);
   TargetLoad LoadLocked(const BackendTarget& target, Duration slow_start, SteadyTime now);
@@ -91,6 +104,7 @@
   Random* random_;
   mutable std::mutex mutex_;
   std::unordered_map<std::string, Entry> entries_;
+  std::unordered_map<std::string, Reach> reach_;  ///< By data centre.
   std::unordered_map<std::string, std::unique_ptr<TargetSelector>> selectors_;
 };
 
--- a/src/libquetzal/net/stream.h
+++ b/src/libquetzal/net/stream.h
@@ -21,6 +21,11 @@
 /// Value of the first field called `name`; empty when there is none.
 std::string_view HeaderValue(const StreamHeaders& headers, std::string_view name);
 
+/// True for the status of headers that precede an answer's own.
+inline bool IsInterimStatus(std::string_view status) {
+  return status.size() == 3 && status.front() == '1';
+}
+
 /// Receives what the peer of a stream sends. All calls come one after another on the
 /// connection's own sequence of tasks; none comes after OnEnd with an ended own side, or
 /// after OnReset.
@@ -28,7 +33,7 @@
  public:
   virtual ~StreamHandler() = default;
 
-  /// The peer's headers: of the answer on an opened stream.
+  /// The peer's headers: of the answer on an opened stream, or interim ones before them.
   virtual void OnHeaders(StreamHeaders headers) = 0;
 
   /// Body bytes; the receiver returns credit with Stream::Consume.
@@ -50,7 +55,8 @@
  public:
   virtual ~Stream() = default;
 
-  /// Sends the answer's headers on an accepted stream.
+  /// Sends the answer's headers on an accepted stream. Interim ones (IsInterimStatus) may
+  /// come before; the peer may miss them when others follow soon.
   virtual void SendHeaders(StreamHeaders headers, bool end) = 0;
   virtual void SendData(std::string bytes, bool end) = 0;
 
--- a/src/plugins/stream_nghttp2/http2_callbacks.cc
+++ b/src/plugins/stream_nghttp2/http2_callbacks.cc
@@ -1,6 +1,7 @@
 #include "plugins/stream_nghttp2/http2_callbacks.h"
 
 #include <string>
+#include <utility>
 
 #include "plugins/stream_nghttp2/http2_connection.h"
 #include "plugins/stream_nghttp2/http2_host.h"
@@ -14,8 +15,10 @@
 
 Http2Connection& ConnectionOf(void* user) { return *static_cast<Http2Connection*>(user); }
 
-bool IsFirstHeaders(const nghttp2_frame* frame) {
-  return frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat != NGHTTP2_HCAT_HEADERS;
+/// False for trailers.
+bool IsMessageHeaders(const nghttp2_frame* frame, const Http2Stream& stream) {
+  return frame->hd.type == NGHTTP2_HEADERS &&
+         (frame->headers.cat != NGHTTP2_HCAT_HEADERS || stream.awaits_answer);
 }
 
 std::string Text(const uint8_t* data, size_t size) {
@@ -62,10 +65,9 @@
 int Http2Callbacks::Header(nghttp2_session* /*session*/, const nghttp2_frame* frame,
                            const uint8_t* name, size_t name_size, const uint8_t* value,
                            size_t value_size, uint8_t /*flags*/, void* user) {
-  if (!IsFirstHeaders(frame)) return 0;
   Http2Connection& connection = ConnectionOf(user);
   const auto stream = connection.Find(frame->hd.stream_id);
-  if (!stream) return 0;
+  if (!stream || !IsMessageHeaders(frame, *stream)) return 0;
   stream->header_bytes += name_size + value_size + kFieldOverheadBytes;
   const bool pseudo = name_size > 0 && name[0] == ':';
   if (stream->header_bytes > connection.host_->options().max_header_bytes ||
@@ -90,11 +92,13 @@
   }
   const auto stream = connection.Find(frame->hd.stream_id);
   if (!stream) return 0;
-  if (IsFirstHeaders(frame)) {
+  if (IsMessageHeaders(frame, *stream)) {
     if (stream->accepted) {
       connection.RequestArrived(stream);
     } else {
-      if (!stream->dead) stream->handler->OnHeaders(std::move(stream->headers));
+      const StreamHeaders headers = std::exchange(stream->headers, {});
+      stream->awaits_answer = IsInterimStatus(HeaderValue(headers, ":status"));
+      if (!stream->dead) stream->handler->OnHeaders(headers);
     }
   }
   if (EndsStream(frame)) connection.EndArrived(*stream);
--- a/src/plugins/stream_nghttp2/http2_connection.cc
+++ b/src/plugins/stream_nghttp2/http2_connection.cc
@@ -216,11 +216,16 @@
 
 void Http2Connection::SubmitAnswer(Http2Stream& stream, const StreamHeaders& headers,
                                    bool end) {
-  stream.answered = true;
   std::string_view status = HeaderValue(headers, ":status");
   if (status.empty()) status = "200";
   std::vector<nghttp2_nv> fields{Field(":status", status)};
   AppendFields(headers, &fields);
+  if (IsInterimStatus(status)) {
+    nghttp2_submit_headers(session_, NGHTTP2_FLAG_NONE, stream.id, nullptr,
+                           fields.data(), fields.size(), nullptr);
+    return;
+  }
+  stream.answered = true;
   const nghttp2_data_provider body = Http2Callbacks::Body(&stream);
   nghttp2_submit_response(session_, stream.id, fields.data(), fields.size(),
                           end ? nullptr : &body);
--- a/src/plugins/stream_nghttp2/http2_stream.h
+++ b/src/plugins/stream_nghttp2/http2_stream.h
@@ -27,6 +27,7 @@
   bool request_ended = false;  ///< The request has no body.
   bool answered = false;       ///< The answer's headers were submitted.
   bool headers_sent = false;
+  bool awaits_answer = false;  ///< Interim headers came; those of the answer follow.
   bool deferred = false;
   bool end_sent = false;
   bool end_received = false;
