Recovery: nodes ask again sooner after a loss of everything, elections start after 0.4 to 0.7 s

Sources without a quorum sent subscribers away for 0.2 to 1 s, as if they had come too many at once, and relays and their subscribers waited one after the other.

Change: 80 to 200 ms where the source only lacks its quorum; questions for the floor of versions each 0.2 s in place of 0.3; election timeouts 0.4 to 0.7 s with a lease of 0.3 s (0.5 to 1 s and 0.4 s).

--- a/src/libquetzal/agreement/agreement_options.h
+++ b/src/libquetzal/agreement/agreement_options.h
@@ -22,9 +22,9 @@
 /// that time.
 struct AgreementOptions {
   Duration heartbeat_period = std::chrono::milliseconds(50);
-  Duration election_timeout_min = std::chrono::milliseconds(500);
-  Duration election_timeout_max = std::chrono::milliseconds(1000);
-  Duration lease = std::chrono::milliseconds(400);
+  Duration election_timeout_min = std::chrono::milliseconds(400);
+  Duration election_timeout_max = std::chrono::milliseconds(700);
+  Duration lease = std::chrono::milliseconds(300);
   Duration message_timeout = std::chrono::milliseconds(500);
   Duration read_timeout = std::chrono::milliseconds(1000);
   Duration handover_timeout = std::chrono::seconds(2);  ///< Wait for a successor.
--- a/src/libquetzal/distribution/fanout.cc
+++ b/src/libquetzal/distribution/fanout.cc
@@ -7,6 +7,11 @@
 
 namespace {
 
+/// A source without contact to its quorum gets it within an election.
+constexpr std::uint64_t kRetryUnrootedMs = 80;
+constexpr std::uint64_t kRetryUnrootedJitterMs = 120;
+
+/// Too many subscribers come at once.
 constexpr std::uint64_t kRetryAfterMs = 200;
 constexpr std::uint64_t kRetryJitterMs = 800;
 constexpr std::size_t kMaxReportsPerSession = 4096;
@@ -92,7 +97,10 @@
   DownMessage message;
   Refused* refused = message.mutable_refused();
   refused->set_code(static_cast<std::uint32_t>(code));
-  refused->set_retry_after_ms(kRetryAfterMs + random_->Below(kRetryJitterMs));
+  refused->set_retry_after_ms(
+      code == ResultCode::kNotRooted
+          ? kRetryUnrootedMs + random_->Below(kRetryUnrootedJitterMs)
+          : kRetryAfterMs + random_->Below(kRetryJitterMs));
   for (std::string& address : callbacks_.gossip_addresses()) {
     refused->add_gossip_addresses(std::move(address));
   }
--- a/src/libquetzal/distribution/spread_core.cc
+++ b/src/libquetzal/distribution/spread_core.cc
@@ -14,7 +14,7 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(100);
 /// A question costs a control instance one round to its quorum at most.
-constexpr Duration kVouchingRetry = std::chrono::milliseconds(300);
+constexpr Duration kVouchingRetry = std::chrono::milliseconds(200);
 constexpr Duration kWaitForMembers = std::chrono::milliseconds(600);
 constexpr Duration kTimeToTell = std::chrono::milliseconds(600);
 
