--- a/src/libquetzal/distribution/node_spread.h
+++ b/src/libquetzal/distribution/node_spread.h
@@ -33,7 +33,7 @@
 /// Bounds of a relay, whose subscribers are always near the latest configuration.
 inline FanoutSettings RelayFanout() {
   FanoutSettings settings;
-  settings.history_entries = 4;
+  settings.history_entries = 2;
   return settings;
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -101,6 +101,8 @@
   // Settings come in flags and variables, which only a new process can read.
   runtime_->OnReloadSignal([this] { events_->Emit({"settings.kept", {}}); });
   stream_address_ = streams_->Listen(settings.Address("streams"), router_.acceptor());
+  const std::string& advertised = settings.Text("advertised-streams");
+  if (!advertised.empty()) stream_address_ = ParseEndpoint(advertised);
   caller_address_ = http_->Bind(settings.Address("callers"), CallerAcceptor());
   Join(settings);
   ServeAdmin(settings);
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -14,6 +14,8 @@
            "Address for callers' requests (HTTP/1.1)."},
           {"streams", K::kEndpoint, "address:port", "", 0, 0, true,
            "Address for other instances (HTTP/2 over TCP)."},
+          {"advertised-streams", K::kText, "address:port", "", 0, 0, false,
+           "Address that other instances use in place of --streams, as behind a proxy."},
           {"gossip", K::kEndpoint, "address:port", "", 0, 0, true,
            "Address for other nodes (UDP)."},
           {"admin", K::kEndpoint, "address:port", "", 0, 0, true,
