--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -99,19 +99,24 @@
   StartDeadline(std::min(
       terms_.remaining.value_or(kLongestWait),
       route_->timeout_ms() == 0 ? context_->options.default_timeout : Duration(timeout)));
-  context_->budgets.Earn(
-      service_, matcher_->snapshot().configuration->policy().retry_budget_percent());
   if (guard_) return ClaimOnceBodyIsWhole();
   NextAttempt();
 }
 
 ResultCode CallerCall::FindRoute() {
-  matcher_ = context_->matcher();
-  if (!matcher_) return ResultCode::kNodeStarting;
-  route_ = matcher_->Match(host_, path_, method_);
-  if (route_ == nullptr) return ResultCode::kNoRoute;
-  service_ = matcher_->PickService(*route_, context_->RandomUnit());
-  return service_.empty() ? ResultCode::kNoBackendServer : ResultCode::kOk;
+  const auto matcher = context_->matcher();
+  if (!matcher) return ResultCode::kNodeStarting;
+  const Route* route = matcher->Match(host_, path_, method_);
+  if (route == nullptr) {
+    version_ = matcher->snapshot().version.index();
+    return ResultCode::kNoRoute;
+  }
+  TakeRoute(*matcher, *route);
+  service_ = matcher->PickService(*route_, context_->RandomUnit());
+  if (service_.empty()) return ResultCode::kNoBackendServer;
+  const Policy& policy = matcher->snapshot().configuration->policy();
+  context_->budgets.Earn(service_, policy.retry_budget_percent());
+  return ResultCode::kOk;
 }
 
 ResultCode CallerCall::CheckPassage() {
@@ -277,10 +282,7 @@
   event.fields.emplace_back("service", service_);
   event.fields.emplace_back("attempts", std::to_string(attempts_));
   event.fields.emplace_back("tried", tried_.empty() ? "" : tried_.back());
-  if (matcher_) {
-    event.fields.emplace_back("version",
-                              std::to_string(matcher_->snapshot().version.index()));
-  }
+  event.fields.emplace_back("version", std::to_string(version_));
   context_->deps.events->Emit(event);
 }
 
@@ -293,7 +295,7 @@
   event.name = name;
   event.fields.emplace_back("key", key_);
   event.fields.emplace_back("code", std::to_string(static_cast<int>(code)));
-  if (target_ != nullptr) event.fields.emplace_back("peer", target_->instance);
+  if (target_) event.fields.emplace_back("peer", target_->instance);
   context_->deps.events->Emit(event);
 }
 
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,11 +56,12 @@
 
   // Attempts.
   void NextAttempt();
-  void RefreshRoute();
+  void TakeRoute(const RouteMatcher& matcher, const Route& route);
+  std::shared_ptr<const RouteMatcher> RefreshRoute();
   bool HasUntriedInstance();
-  const BackendTarget* NextTarget();
-  const BackendTarget* ChooseTarget();
-  const BackendTarget* ShortestWait();
+  std::optional<BackendTarget> NextTarget();
+  std::optional<BackendTarget> ChooseTarget();
+  std::optional<BackendTarget> ShortestWait();
   void OpenAttempt();
   CallHead MakeHead() const;
   void EndAttempt(AttemptEnd end);
@@ -124,10 +126,10 @@
   bool deadline_passed_ = false;
   bool caller_gone_ = false;
 
-  std::shared_ptr<const RouteMatcher> matcher_;  ///< Keeps route_ and target_ alive.
-  const Route* route_ = nullptr;
+  std::unique_ptr<const Route> route_;
+  std::uint64_t version_ = 0;  ///< Log index of the configuration that route_ is of.
   std::string service_;
-  const BackendTarget* target_ = nullptr;  ///< Of the attempt on its way.
+  std::optional<BackendTarget> target_;  ///< Of the attempt on its way.
   std::shared_ptr<Stream> attempt_;
   bool confirmed_ = false;  ///< The admitting node may run the attempt.
   std::unique_ptr<Timer> receipt_timer_;
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -65,7 +65,7 @@
   template <class Function>
   void Run(Function function) {
     call_->queue_.Run([call = call_, number = number_, function = std::move(function)] {
-      if (call->target_ != nullptr && call->attempts_ == number) function(call.get());
+      if (call->target_ && call->attempts_ == number) function(call.get());
     });
   }
 
@@ -76,7 +76,7 @@
 void CallerCall::NextAttempt() {
   if (deadline_passed_ || caller_gone_) return StopWaiting();
   target_ = NextTarget();
-  if (target_ == nullptr) {
+  if (!target_) {
     const bool told_why = last_refusal_.code != ResultCode::kOk;
     return Refuse(told_why ? last_refusal_
                            : Refusal{ResultCode::kNoBackendServer, true, kRetryAfter});
@@ -89,22 +89,30 @@
   guard_->Claim(*target_);
 }
 
-void CallerCall::RefreshRoute() {
-  // The newest snapshot, since the last choice may have met a server that left.
+/// A request holds its own route, not the configuration: changes in quick succession
+/// would keep one large configuration in memory for each of them.
+void CallerCall::TakeRoute(const RouteMatcher& matcher, const Route& route) {
+  route_ = std::make_unique<const Route>(route);
+  version_ = matcher.snapshot().version.index();
+}
+
+/// The newest snapshot, since the last choice may have met a server that left; null while
+/// this node may not serve.
+std::shared_ptr<const RouteMatcher> CallerCall::RefreshRoute() {
   auto latest = context_->matcher();
-  if (latest && latest != matcher_) {
-    const Route* route = latest->Match(host_, path_, method_);
-    if (route != nullptr && route->idempotent() == route_->idempotent() &&
-        route->keyless() == route_->keyless()) {
-      matcher_ = std::move(latest);
-      route_ = route;
-    }
+  if (!latest || latest->snapshot().version.index() == version_) return latest;
+  const Route* route = latest->Match(host_, path_, method_);
+  if (route != nullptr && route->idempotent() == route_->idempotent() &&
+      route->keyless() == route_->keyless()) {
+    TakeRoute(*latest, *route);
   }
+  return latest;
 }
 
 bool CallerCall::HasUntriedInstance() {
-  RefreshRoute();
-  const auto& targets = matcher_->Targets(service_);
+  const auto matcher = RefreshRoute();
+  if (!matcher) return false;
+  const auto& targets = matcher->Targets(service_);
   return std::any_of(targets.begin(), targets.end(), [this](const BackendTarget* target) {
     return target->state == SERVER_UP &&
            std::find(tried_.begin(), tried_.end(), target->instance) == tried_.end();
@@ -113,37 +121,38 @@
 
 /// Asks a few instances for a free slot; when there is none, the request waits where the
 /// wait is the shortest.
-const BackendTarget* CallerCall::NextTarget() {
+std::optional<BackendTarget> CallerCall::NextTarget() {
   if (!asks_for_slot_) return full_.empty() ? ChooseTarget() : ShortestWait();
   if (full_.size() < kSlotQuestions) {
-    if (const BackendTarget* target = ChooseTarget()) return target;
+    if (auto target = ChooseTarget()) return target;
   }
   asks_for_slot_ = false;
-  return full_.empty() ? nullptr : ShortestWait();
+  return full_.empty() ? std::nullopt : ShortestWait();
 }
 
-/// Null when no instance that was asked can answer within the objective.
-const BackendTarget* CallerCall::ShortestWait() {
-  RefreshRoute();
+/// Nothing when no instance that was asked can answer within the objective.
+std::optional<BackendTarget> CallerCall::ShortestWait() {
+  const auto matcher = RefreshRoute();
   const auto shortest =
       std::min_element(full_.begin(), full_.end(),
                        [](const auto& a, const auto& b) { return a.wait < b.wait; });
   const FullInstance full = *shortest;
   full_.erase(shortest);
   RememberRefusal({ResultCode::kServerFull, true, full.wait});
-  if (context_->Now() + full.wait > Objective()) return nullptr;
-  for (const BackendTarget* target : matcher_->Targets(service_)) {
+  if (!matcher || context_->Now() + full.wait > Objective()) return std::nullopt;
+  for (const BackendTarget* target : matcher->Targets(service_)) {
     if (target->instance != full.instance || target->state != SERVER_UP) continue;
     context_->loads.Begin(*target);
-    return target;
+    return *target;
   }
-  return nullptr;
+  return std::nullopt;
 }
 
-const BackendTarget* CallerCall::ChooseTarget() {
-  RefreshRoute();
-  const Configuration& configuration = *matcher_->snapshot().configuration;
-  const Service* service = matcher_->FindService(service_);
+std::optional<BackendTarget> CallerCall::ChooseTarget() {
+  const auto matcher = RefreshRoute();
+  if (!matcher) return std::nullopt;
+  const Configuration& configuration = *matcher->snapshot().configuration;
+  const Service* service = matcher->FindService(service_);
   ChoiceOptions options;
   options.data_centre = context_->options.data_centre;
   options.load_policy = configuration.policy().load_policy();
@@ -151,7 +160,9 @@
   if (service != nullptr) {
     options.slow_start = std::chrono::milliseconds(service->slow_start_ms());
   }
-  return context_->loads.Choose(matcher_->Targets(service_), options);
+  const BackendTarget* chosen =
+      context_->loads.Choose(matcher->Targets(service_), options);
+  return chosen == nullptr ? std::nullopt : std::optional(*chosen);
 }
 
 void CallerCall::OpenAttempt() {
@@ -197,9 +208,9 @@
 }
 
 void CallerCall::EndAttempt(AttemptEnd end) {
-  if (target_ == nullptr) return;
+  if (!target_) return;
   context_->loads.End(*target_, end);
-  target_ = nullptr;
+  target_.reset();
   attempt_.reset();
   receipt_timer_.reset();
 }
--- a/tests/calls/keyless_call_test.cc
+++ b/tests/calls/keyless_call_test.cc
@@ -150,6 +150,19 @@
   CheckReads();
 }
 
+// Pattern: changes in quick succession while servers are slow.
+TEST_F(KeylessCallTest, ARequestUnderWayKeepsNoConfiguration) {
+  SetAll(Behaviour::kSlow);
+  const auto log = world_.Report(0, "slow");
+  world_.Run(milliseconds(20));
+  const std::weak_ptr<const Configuration> held = world_.routing.held->configuration;
+  world_.Distribute();
+  for (std::size_t n = 0; n < 4; ++n) world_.Report(n, "next");
+  world_.Run(milliseconds(20));
+  EXPECT_TRUE(held.expired());
+  EXPECT_FALSE(log->ended);
+}
+
 TEST_F(KeylessCallTest, SharesAreKeptWhileAPartHasNoServer) {
   Service* other = world_.configuration.add_services();
   other->set_name("empty");
