--- a/bench/configuration_bench.cc
+++ b/bench/configuration_bench.cc
@@ -38,41 +38,41 @@
   return configuration;
 }
 
-void BM_Check(benchmark::State& state) {
+void CheckWhole(benchmark::State& state) {
   const auto configuration = MakeConfiguration(state.range(0));
   for (auto _ : state) CheckConfiguration(*configuration);
 }
-BENCHMARK(BM_Check)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
+BENCHMARK(CheckWhole)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
 
-void BM_MakeDelta(benchmark::State& state) {
+void MakeDeltaOfOneRoute(benchmark::State& state) {
   const auto from = MakeConfiguration(state.range(0));
   const auto to = MakeConfiguration(state.range(0));
   to->mutable_routes(0)->set_timeout_ms(2000);
   for (auto _ : state) benchmark::DoNotOptimize(MakeDelta(*from, *to));
 }
-BENCHMARK(BM_MakeDelta)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
+BENCHMARK(MakeDeltaOfOneRoute)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
 
-void BM_ApplyDelta(benchmark::State& state) {
+void ApplyDeltaOfOneRoute(benchmark::State& state) {
   const auto from = MakeConfiguration(state.range(0));
   const auto to = MakeConfiguration(state.range(0));
   to->mutable_routes(0)->set_timeout_ms(2000);
   const ConfigurationDelta delta = MakeDelta(*from, *to);
   for (auto _ : state) benchmark::DoNotOptimize(ApplyDelta(*from, delta));
 }
-BENCHMARK(BM_ApplyDelta)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
+BENCHMARK(ApplyDeltaOfOneRoute)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
 
-void BM_Digest(benchmark::State& state) {
+void FindDigest(benchmark::State& state) {
   const auto configuration = MakeConfiguration(state.range(0));
   for (auto _ : state) benchmark::DoNotOptimize(DigestOf(*configuration));
 }
-BENCHMARK(BM_Digest)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
+BENCHMARK(FindDigest)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
 
-void BM_RouteMatcher(benchmark::State& state) {
+void BuildRouteMatcher(benchmark::State& state) {
   auto snapshot = std::make_shared<RoutingSnapshot>();
   snapshot->configuration = MakeConfiguration(state.range(0));
   for (auto _ : state) benchmark::DoNotOptimize(RouteMatcher(snapshot));
 }
-BENCHMARK(BM_RouteMatcher)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BuildRouteMatcher)->Arg(100)->Arg(2800)->Unit(benchmark::kMicrosecond);
 
 }  // namespace
 }  // namespace quetzal
--- a/src/libquetzal/calls/route_index.h
+++ b/src/libquetzal/calls/route_index.h
@@ -35,8 +35,8 @@
   static bool IsBefore(const Entry& a, const Entry& b);
 
   std::shared_ptr<const Configuration> configuration_;
-  std::vector<Entry> entries_;         ///< By prefix, narrower routes first.
-  std::vector<std::size_t> lengths_;   ///< Of the prefixes, the longest first.
+  std::vector<Entry> entries_;        ///< By prefix, narrower routes first.
+  std::vector<std::size_t> lengths_;  ///< Of the prefixes, the longest first.
   std::unordered_map<std::string_view, const Service*> services_;
 };
 
--- a/src/libquetzal/configuration/configuration_check.cc
+++ b/src/libquetzal/configuration/configuration_check.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <string_view>
 #include <tuple>
+#include <type_traits>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -36,10 +37,13 @@
 
 // Thousands of routes are checked with each change, so that texts are put together only
 // for a fault: `what` may be a text or a function that gives one.
-std::string TextOf(const std::string& what) { return what; }
 template <class What>
-auto TextOf(const What& what) -> decltype(std::string(what())) {
-  return what();
+std::string TextOf(const What& what) {
+  if constexpr (std::is_invocable_v<const What&>) {
+    return what();
+  } else {
+    return what;
+  }
 }
 
 template <class What>
@@ -134,9 +138,9 @@
     if (services.count(name) == 0) {
       Refuse(what() + "target '" + name + "' is not a service");
     }
-    const bool twice =
-        std::any_of(targets.begin(), target,
-                    [&name](const Target& other) { return other.service() == name; });
+    const bool twice = std::any_of(targets.begin(), target, [&name](const Target& other) {
+      return other.service() == name;
+    });
     if (twice) Refuse(what() + "target '" + name + "' stands twice");
     CheckRange([&] { return what() + "weight of '" + name + "'"; }, target->weight(), 0,
                kMaxWeight);
@@ -173,9 +177,8 @@
   std::stable_sort(owners.begin(), owners.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
   const auto same =
-      std::adjacent_find(owners.begin(), owners.end(), [](const auto& a, const auto& b) {
-        return a.first == b.first;
-      });
+      std::adjacent_find(owners.begin(), owners.end(),
+                         [](const auto& a, const auto& b) { return a.first == b.first; });
   if (same == owners.end()) return;
   Refuse("routes '" + same->second->name() + "' and '" + std::next(same)->second->name() +
          "' match the same requests");
--- a/src/libquetzal/configuration/configuration_delta.cc
+++ b/src/libquetzal/configuration/configuration_delta.cc
@@ -7,7 +7,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 
 #include "base/concat.h"
 #include "base/result_code.h"
@@ -114,9 +113,9 @@
 ConfigurationDelta MakeDelta(const Configuration& from, const Configuration& to) {
   ConfigurationDelta delta;
   DiffNamed(from.services(), to.services(), delta.mutable_set_services(),
-                     delta.mutable_removed_services());
+            delta.mutable_removed_services());
   DiffNamed(from.routes(), to.routes(), delta.mutable_set_routes(),
-                   delta.mutable_removed_routes());
+            delta.mutable_removed_routes());
   DiffLeaving(from, to, &delta);
   if (!SameMessage(from.policy(), to.policy())) {
     *delta.mutable_policy() = to.policy();
@@ -158,7 +157,7 @@
     *result->mutable_data_centres() = delta.data_centres();
   }
   CheckConfiguration(*result);
-  return {std::move(arena), result};
+  return {arena, result};
 }
 
 bool SameConfiguration(const Configuration& a, const Configuration& b) {
--- a/src/libquetzal/distribution/fanout.cc
+++ b/src/libquetzal/distribution/fanout.cc
@@ -97,10 +97,10 @@
   DownMessage message;
   Refused* refused = message.mutable_refused();
   refused->set_code(static_cast<std::uint32_t>(code));
-  refused->set_retry_after_ms(
-      code == ResultCode::kNotRooted
-          ? kRetryUnrootedMs + random_->Below(kRetryUnrootedJitterMs)
-          : kRetryAfterMs + random_->Below(kRetryJitterMs));
+  refused->set_retry_after_ms(code == ResultCode::kNotRooted
+                                  ? kRetryUnrootedMs +
+                                        random_->Below(kRetryUnrootedJitterMs)
+                                  : kRetryAfterMs + random_->Below(kRetryJitterMs));
   for (std::string& address : callbacks_.gossip_addresses()) {
     refused->add_gossip_addresses(std::move(address));
   }
@@ -128,8 +128,7 @@
   }
 }
 
-void Fanout::Publish(const Version& version,
-                     MeasuredConfiguration configuration) {
+void Fanout::Publish(const Version& version, MeasuredConfiguration configuration) {
   if (!history_.Add(version, std::move(configuration))) return;
   for (auto& [id, session] : sessions_) {
     if (session.subscribed) SendUpdate(&session);
--- a/src/plugins/stream_nghttp2/http2_connection.cc
+++ b/src/plugins/stream_nghttp2/http2_connection.cc
@@ -221,8 +221,8 @@
   std::vector<nghttp2_nv> fields{Field(":status", status)};
   AppendFields(headers, &fields);
   if (IsInterimStatus(status)) {
-    nghttp2_submit_headers(session_, NGHTTP2_FLAG_NONE, stream.id, nullptr,
-                           fields.data(), fields.size(), nullptr);
+    nghttp2_submit_headers(session_, NGHTTP2_FLAG_NONE, stream.id, nullptr, fields.data(),
+                           fields.size(), nullptr);
     return;
   }
   stream.answered = true;
--- a/src/standin/fault_proxy_main.cc
+++ b/src/standin/fault_proxy_main.cc
@@ -148,8 +148,8 @@
 int Run(const Settings& settings) {
   boost::asio::io_context context;
   const Endpoint listen = settings.Address("listen");
-  tcp::acceptor acceptor(
-      context, {boost::asio::ip::make_address(listen.address), listen.port});
+  tcp::acceptor acceptor(context,
+                         {boost::asio::ip::make_address(listen.address), listen.port});
   ModeWatch watch(settings.Text("mode-file"));
   std::cout << "listening" << std::endl;
   for (;;) {
--- a/tests/calls/silent_instance_test.cc
+++ b/tests/calls/silent_instance_test.cc
@@ -105,8 +105,8 @@
   world_.servers[2]->behaviour = Behaviour::kHang;
   for (int n = 0; n < 4; ++n) Order(0, "fills " + std::to_string(n));
   world_.Run(milliseconds(20));
-  const auto log = world_.Send(0, "POST", "/orders", "", "hoops",
-                               {{"x-quetzal-deadline-ms", "400"}});
+  const auto log =
+      world_.Send(0, "POST", "/orders", "", "hoops", {{"x-quetzal-deadline-ms", "400"}});
   world_.Run(milliseconds(500));
   EXPECT_TRUE(log->told_not_run()) << log->body;
   EXPECT_EQ(world_.runs("hoops"), 0);
@@ -143,8 +143,13 @@
  protected:
   SilentTargetsTest() {
     for (int n = 0; n < 4; ++n) {
-      targets_.push_back({"logrono-" + std::to_string(n), "logrono", 1,
-                          {"10.0.0.1", 7000}, "desk", 20, SERVER_UP});
+      targets_.push_back({"logrono-" + std::to_string(n),
+                          "logrono",
+                          1,
+                          {"10.0.0.1", 7000},
+                          "desk",
+                          20,
+                          SERVER_UP});
     }
   }
 
