Distribution: a frozen source is left after 2 s, and a missed change is fetched after 1.4 s

Change: a source counts as lost after 2 s without a beat (one each second); after the first question to the source at 1 s, repair goes on each 0.4 s and asks other holders from 1.2 s on. Fetched updates are compressed as the others are.

--- a/src/libquetzal/distribution/fanout.h
+++ b/src/libquetzal/distribution/fanout.h
@@ -67,6 +67,12 @@
 
   void CloseAll();
 
+  /// The message that leads from `held` to the last configuration; see
+  /// ConfigurationHistory::UpdateFrom.
+  const std::string& UpdateFrom(const Version& held, std::uint64_t held_digest) {
+    return history_.UpdateFrom(held, held_digest);
+  }
+
   const ConfigurationHistory& history() const { return history_; }
   std::size_t sessions() const { return sessions_.size(); }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
--- a/src/libquetzal/distribution/node_spread.h
+++ b/src/libquetzal/distribution/node_spread.h
@@ -45,7 +45,8 @@
   FanoutSettings fanout = RelayFanout();
   std::size_t relay_threshold = 8;  ///< Fewer members in a data centre use no relays.
   Duration ack_period = std::chrono::seconds(2);
-  Duration source_timeout = std::chrono::seconds(3);  ///< Without a beat.
+  Duration source_timeout =
+      std::chrono::seconds(2);  ///< Without a beat; one may be late.
   Duration pause_limit = std::chrono::seconds(5);
   Duration cut_off_patience = std::chrono::seconds(3);  ///< Until peers are asked.
   Duration leave_limit = std::chrono::seconds(3);
--- a/src/libquetzal/distribution/spread_core_source.cc
+++ b/src/libquetzal/distribution/spread_core_source.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "distribution/down_message.h"
 #include "distribution/spread_core.h"
 #include "distribution/subscriber_acceptor.h"
 #include "membership/endpoint_text.h"
@@ -14,7 +15,11 @@
 constexpr Duration kRpcTimeout = std::chrono::seconds(2);
 constexpr Duration kAckDelay = std::chrono::milliseconds(2);
 constexpr Duration kResyncAfter = std::chrono::seconds(1);
-constexpr Duration kFetchAfter = std::chrono::seconds(2);
+
+/// A source that does not answer to a resync within a period may be frozen: a change is
+/// to be in force within two seconds, also for those that have such a source.
+constexpr Duration kRepairPeriod = std::chrono::milliseconds(400);
+constexpr Duration kFetchAfter = std::chrono::milliseconds(1200);
 constexpr Duration kUpwardTimeout = std::chrono::seconds(2);
 constexpr std::size_t kAddressesPerAnswer = 6;
 constexpr char kVersionsMethod[] = "/distribution/versions";
@@ -49,9 +54,7 @@
   serve(kFetchMethod, [](Core* self, const std::string& request) {
     FetchRequest asked;
     asked.ParseFromString(request);
-    return self->fanout_->history()
-        .MakeUpdate(asked.held(), asked.held_digest())
-        .SerializeAsString();
+    return self->fanout_->UpdateFrom(asked.held(), asked.held_digest());
   });
   const std::shared_ptr<Fanout> shared(shared_from_this(), fanout_.get());
   AcceptSubscribers(dependencies_.channels, dependencies_.executor, shared);
@@ -213,7 +216,7 @@
     next_repair_ = now + kResyncAfter;
   }
   if (now < next_repair_) return;
-  next_repair_ = now + kResyncAfter;
+  next_repair_ = now + kRepairPeriod;
   if (now - behind_since_ < kFetchAfter) return Resync(configuration_.held());
   Version wanted = configuration_.held();
   wanted.set_index(wanted.index() + 1);
@@ -234,10 +237,10 @@
       *address, kFetchMethod, request.SerializeAsString(), kRpcTimeout,
       [weak = weak_from_this()](ResultCode code, const std::string& body) {
         auto core = weak.lock();
-        auto update = std::make_shared<ConfigurationUpdate>();
+        auto message = std::make_shared<DownMessage>();
         if (core == nullptr || code != ResultCode::kOk) return;
-        if (!update->ParseFromString(body) || !update->has_version()) return;
-        core->Post([update](Core* self) { self->OnUpdate(*update); });
+        if (!DecodeDown(body, message.get()) || !message->has_update()) return;
+        core->Post([message](Core* self) { self->OnUpdate(message->update()); });
       });
 }
 
