Calls: a read that failed at a server and then waited elsewhere is not told "not run"

Cause, found by reading: a server's 5xx to a read is set aside while another instance is tried; at the time limit the request counted as unsent when that attempt was not confirmed, and the caller was told "not run", though it had run. Test: AReadThatFailedBeforeItWaitedIsNotToldNotRun, failed before. Non-idempotent requests are not affected: they are not tried after a run.

--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -228,7 +228,8 @@
 
 bool CallerCall::IsUnsent() const {
   if (phase_ == Phase::kBody) return true;
-  if (phase_ != Phase::kAttempt || confirmed_ || guard_) return false;
+  const bool may_run = confirmed_ || guard_ || servers_reached_ > 0;
+  if (phase_ != Phase::kAttempt || may_run) return false;
   return last_refusal_.code == ResultCode::kOk || last_refusal_.not_run;
 }
 
--- a/tests/calls/keyless_call_test.cc
+++ b/tests/calls/keyless_call_test.cc
@@ -150,6 +150,24 @@
   CheckReads();
 }
 
+// Pattern: one server fails what it runs, the other one is full beyond the time limit.
+TEST_F(KeylessCallTest, AReadThatFailedBeforeItWaitedIsNotToldNotRun) {
+  for (const std::size_t node : {0, 2, 3}) world_.SetState(node, SERVER_DOWN);
+  world_.Distribute();
+  world_.servers[1]->behaviour = Behaviour::kHang;
+  for (int n = 0; n < 2; ++n) world_.Report(1, "fills " + std::to_string(n));
+  world_.Run(milliseconds(20));
+  world_.SetState(0, SERVER_UP);
+  world_.Distribute();
+  world_.servers[0]->status = "500";
+  const auto log =
+      world_.Send(0, "GET", "/reports/7", "", "read", {{"x-quetzal-deadline-ms", "300"}});
+  world_.Run(milliseconds(400));
+  EXPECT_EQ(world_.runs("read"), 1);
+  EXPECT_TRUE(log->ended);
+  EXPECT_FALSE(log->told_not_run()) << log->body;
+}
+
 // Pattern: changes in quick succession while servers are slow.
 TEST_F(KeylessCallTest, ARequestUnderWayKeepsNoConfiguration) {
   SetAll(Behaviour::kSlow);
