Calls: both sides of a local stream hear of an end at the same time

Cause: Local::End set its side's ended flag before it fetched the other side's handler. When both sides ended at once on two threads, one of them released both handlers in between, and one OnEnd was lost: a call whose answer was whole never ended (KNOWN-RED, calls.FlowTest). Change: the handler is fetched before the flag is set.

--- a/src/libquetzal/calls/local_stream.cc
+++ b/src/libquetzal/calls/local_stream.cc
@@ -81,8 +81,11 @@
 
  private:
   void End() {
+    // Once both sides have ended, either of them releases both handlers. The handler is
+    // taken before that, or an end on another thread could release it unnotified.
+    const std::shared_ptr<StreamHandler> handler = other_side_->handler();
     this_side_->ended = true;
-    if (auto handler = other_side_->handler()) handler->OnEnd();
+    if (handler) handler->OnEnd();
     if (!other_side_->ended) return;
     this_side_->Release();
     other_side_->Release();
