Runtime: connections that wait to be accepted are served when a listener closes

Cause: closing a listening socket resets the connections that the kernel has established and the process has not accepted, although their requests may already have arrived. Change: Close() accepts what waits, then stops listening. Test: five callers send requests while the only worker is busy, then the transport drains; before, all five connections were reset; after, all are answered. Left: with real round trips a handshake that completes within the last microseconds is still reset; the peer's retry is then a refused connection.

--- a/src/plugins/runtime_asio/tcp_listener.cc
+++ b/src/plugins/runtime_asio/tcp_listener.cc
@@ -1,7 +1,9 @@
 #include "plugins/runtime_asio/tcp_listener.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -34,7 +36,8 @@
 Endpoint TcpListener::Bind(const Endpoint& endpoint) {
   const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
   boost::system::error_code ec;
-  acceptor_.open(address.protocol(), ec);
+  protocol_ = address.protocol();
+  acceptor_.open(protocol_, ec);
   // With SO_REUSEADDR two sockets can bind the same address as long as neither listens.
   // So the option is set only if the bind fails without it, for example because
   // connections of an earlier process are still in TIME_WAIT.
@@ -56,6 +59,9 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
   acceptor_.listen(asio::socket_base::max_listen_connections, ec);
   if (ec) ThrowPortTaken(bound_, ec);
+  // Asio would set this at the first accept; AcceptPending() needs it before.
+  acceptor_.native_non_blocking(true, ec);
+  listening_ = true;
   asio::post(strand_, [self = shared_from_this()] { self->Accept(); });
 }
 
@@ -89,13 +95,36 @@
       });
 }
 
+/// The kernel resets the connections in its queue when the socket stops listening,
+/// although their peers may already have sent requests.
+std::vector<TcpListener::Socket> TcpListener::AcceptPending() {
+  std::vector<Socket> accepted;
+  for (;;) {
+    const int fd = ::accept4(acceptor_.native_handle(), nullptr, nullptr,
+                             SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
+    if (fd < 0) return accepted;
+    boost::system::error_code ec;
+    Socket socket(asio::make_strand(context_));
+    socket.assign(protocol_, fd, ec);
+    if (ec) {
+      ::close(fd);
+    } else {
+      accepted.push_back(std::move(socket));
+    }
+  }
+}
+
 void TcpListener::Close() {
+  std::vector<Socket> pending;
   {
     std::lock_guard<std::mutex> lock(mutex_);
     closed_ = true;
+    if (listening_ && acceptor_.is_open()) pending = AcceptPending();
     // Refuses connections from now on, before the strand closes the socket.
     if (acceptor_.is_open()) ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
   }
+  for (Socket& socket : pending) on_connection_(std::move(socket));
   asio::post(strand_, [self = shared_from_this()] {
     std::lock_guard<std::mutex> lock(self->mutex_);
     boost::system::error_code ec;
--- a/src/plugins/runtime_asio/tcp_listener.h
+++ b/src/plugins/runtime_asio/tcp_listener.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 #include <boost/asio/basic_stream_socket.hpp>
 #include <boost/asio/io_context.hpp>
@@ -35,20 +36,24 @@
   /// Calls Bind() and Start().
   Endpoint Listen(const Endpoint& endpoint);
 
-  /// Stops accepting; connections are refused once this returns. Safe from any thread.
+  /// Stops accepting; connections are refused once this returns. Those that the kernel
+  /// had established before are still passed on. Safe from any thread.
   void Close();
 
  private:
   void Accept();
+  std::vector<Socket> AcceptPending();
   void Accepted(const boost::system::error_code& ec, Socket socket);
 
-  std::mutex mutex_;  ///< Guards closed_ and the closing of acceptor_. Innermost lock.
+  std::mutex mutex_;  ///< Guards the flags and the closing of acceptor_. Innermost lock.
   bool closed_ = false;
+  bool listening_ = false;
 
   boost::asio::io_context& context_;
   ConnectionHandler on_connection_;
   Strand strand_;
   Endpoint bound_;
+  boost::asio::ip::tcp protocol_ = boost::asio::ip::tcp::v4();
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_timer_;
 };
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -1,8 +1,10 @@
 #include <condition_variable>
 #include <deque>
+#include <future>
 #include <mutex>
 
 #include <gtest/gtest.h>
+#include <boost/asio/post.hpp>
 
 #include "http1/raw_peer.h"
 #include "plugins/http1_beast/http1_transport.h"
@@ -291,6 +293,37 @@
   EXPECT_THROW(RawCaller{endpoint_}, boost::system::system_error);
 }
 
+TEST(Http1TransportTest, DrainServesConnectionsThatWaitToBeAccepted) {
+  WorkerPool workers{1};
+  Http1Transport server{&workers, Options()};
+  const Endpoint endpoint =
+      server.Listen({"127.0.0.1", 0}, [](const std::string&, const StreamHeaders&,
+                                         const std::shared_ptr<Stream>& stream) {
+        stream->SendHeaders({{":status", "200"}}, true);
+        return std::make_shared<RecordingHandler>();
+      });
+  // The only worker is busy, so that the connections stay in the kernel's queue.
+  std::promise<void> release;
+  std::promise<void> busy;
+  boost::asio::post(workers.context(), [&] {
+    busy.set_value();
+    release.get_future().wait();
+  });
+  busy.get_future().wait();
+  std::deque<RawCaller> callers;
+  for (int n = 0; n < 5; ++n) {
+    callers.emplace_back(endpoint);
+    callers.back().Send("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+  }
+  server.Drain();
+  release.set_value();
+  for (RawCaller& caller : callers) {
+    EXPECT_EQ(caller.ReadAll(),
+              "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+  }
+  workers.Stop();
+}
+
 TEST_F(Http1ServerTest, ContinueIsSentWhenExpected) {
   RawCaller caller(endpoint_);
   caller.Send(
