Agreement, control: lost instances leave an even group and may return

Change: a removal by the repair records the replica in the set, and the leader admits such a replica with its folder as a learner; a folder that is neither empty nor recorded is refused as before, and so is an instance that an operator removed. An instance that does not answer and that its data centre declared dead, or that announced its stop, is removed after 6 s if the group has an even size or a standby waits; else after ten minutes.

--- a/src/libquetzal/agreement/agreement.h
+++ b/src/libquetzal/agreement/agreement.h
@@ -48,8 +48,9 @@
 };
 
 enum class MembershipChangeKind {
-  kAdd,     ///< Adds an instance as a learner, which later becomes a voter.
-  kRemove,  ///< Removes an instance.
+  kAdd,         ///< Adds an instance as a learner, which later becomes a voter.
+  kRemove,      ///< Removes an instance for good.
+  kRemoveLost,  ///< Removes an instance that may be added again with its data folder.
 };
 
 /// A membership change of a single instance.
@@ -88,7 +89,8 @@
   /// committed (kAdd: the instance is a learner and becomes a voter automatically once it
   /// has caught up with the log). kPlanRefused: the change is invalid; the result gives
   /// the reason. kOverloaded: another change is in progress. kConnectFailed: the new
-  /// instance does not respond, or its data folder is not empty.
+  /// instance does not respond, or its data folder is neither empty nor that of an
+  /// instance removed by kRemoveLost.
   virtual void ProposeMembership(const MembershipChange& change,
                                  const ProposeDone& done) = 0;
 };
--- a/src/libquetzal/agreement/agreement_service.cc
+++ b/src/libquetzal/agreement/agreement_service.cc
@@ -130,8 +130,9 @@
         return done(ResultCode::kOverloaded, {}, "another change is under way");
       }
       membership_done_ = done;
-      const bool add = change.kind == MembershipChangeKind::kAdd;
-      Step([&] { core_->ProposeMembership(add, {change.name, change.endpoint}); });
+      Step([&] {
+        core_->ProposeMembership(change.kind, {change.name, change.endpoint});
+      });
     });
     if (!posted) done(ResultCode::kNotLeader, {}, "");
   }
--- a/src/libquetzal/agreement/raft_core.h
+++ b/src/libquetzal/agreement/raft_core.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "agreement/agreement.h"
 #include "agreement/agreement_options.h"
 #include "agreement/raft_log.h"
 #include "agreement/raft_output.h"
@@ -44,7 +45,7 @@
   ProposeAnswer Propose(std::string payload);
 
   /// Starts a membership change. The output reports its result as a MembershipStep.
-  void ProposeMembership(bool add, const AgreementPeer& peer);
+  void ProposeMembership(MembershipChangeKind kind, const AgreementPeer& peer);
 
   /// Starts a linearizable read. The output reports its result as a ReadOutcome once the
   /// applied index has reached the commit index of the leader.
--- a/src/libquetzal/agreement/raft_core_membership.cc
+++ b/src/libquetzal/agreement/raft_core_membership.cc
@@ -9,12 +9,13 @@
 /// Heartbeat periods within which a new instance must respond.
 constexpr int kAddTimeoutHeartbeats = 40;
 
-void AddLearner(ReplicaSet* set, const AgreementMessage& hello) {
-  Replica* replica = set->add_replicas();
-  replica->set_name(hello.from_name());
-  replica->set_address(hello.from_address());
-  replica->set_replica(hello.from());
-  replica->set_voter(false);
+Replica LearnerOf(const AgreementMessage& hello) {
+  Replica replica;
+  replica.set_name(hello.from_name());
+  replica.set_address(hello.from_address());
+  replica.set_replica(hello.from());
+  replica.set_voter(false);
+  return replica;
 }
 
 }  // namespace
@@ -60,7 +61,7 @@
   progress_ = std::move(kept);
 }
 
-void RaftCore::ProposeMembership(bool add, const AgreementPeer& peer) {
+void RaftCore::ProposeMembership(MembershipChangeKind kind, const AgreementPeer& peer) {
   if (role_ == RaftRole::kLeader) StepDownWithoutQuorum();
   const auto refuse = [this](ResultCode code, const std::string& text) {
     output_.membership_steps.push_back({code, text});
@@ -71,7 +72,7 @@
     return refuse(ResultCode::kOverloaded, "another change is under way");
   }
   const Replica* known = FindReplicaByName(log_.replicas(), peer.name);
-  if (add) {
+  if (kind == MembershipChangeKind::kAdd) {
     if (known != nullptr) {
       return refuse(ResultCode::kPlanRefused, peer.name + " is in the group");
     }
@@ -87,7 +88,8 @@
   if (known->voter() && VoterCount(log_.replicas()) == 1) {
     return refuse(ResultCode::kPlanRefused, peer.name + " is the last instance");
   }
-  const ReplicaSet rest = WithoutReplica(log_.replicas(), known->replica());
+  ReplicaSet rest = WithoutReplica(log_.replicas(), known->replica());
+  if (kind == MembershipChangeKind::kRemoveLost) ListRemoved(&rest, known->replica());
   if (!MajorityResponds(rest)) {
     return refuse(ResultCode::kPlanRefused, "most of the others do not answer");
   }
@@ -108,14 +110,17 @@
   Send(std::move(message), pending_add_->peer.endpoint.ToString());
 }
 
+/// A replica that was removed from this group may return with its folder: its votes and
+/// entries are those of this group, and conflicting entries are overwritten while it is a
+/// learner. Any other folder with entries may belong to another group.
 void RaftCore::FinishAdd(const AgreementMessage& hello) {
   if (!pending_add_ || hello.from_name() != pending_add_->peer.name) return;
-  if (!hello.hello_reply().fresh()) {
+  if (!hello.hello_reply().fresh() && !WasRemoved(log_.replicas(), hello.from())) {
     return EndMembershipStep(ResultCode::kConnectFailed, "its data folder is not empty");
   }
   if (MembershipChangeBlocked()) return;
   ReplicaSet set = log_.replicas();
-  AddLearner(&set, hello);
+  AddLearner(&set, LearnerOf(hello));
   ProposeReplicas(set);
   EndMembershipStep(ResultCode::kOk, "");
   Report(CoreEventKind::kReplicaAdmitted, hello.from());
@@ -133,7 +138,7 @@
   if (MembershipChangeBlocked() || pending_add_ || !LeaseValid()) return;
   ReplicaSet set = WithoutReplica(log_.replicas(), lost->replica());
   if (!MajorityResponds(set)) return;
-  AddLearner(&set, hello);
+  AddLearner(&set, LearnerOf(hello));
   ProposeReplicas(set);
   Report(CoreEventKind::kReplicaReplaced, hello.from());
 }
--- a/src/libquetzal/agreement/replica_set.cc
+++ b/src/libquetzal/agreement/replica_set.cc
@@ -1,6 +1,12 @@
 #include "agreement/replica_set.h"
 
 namespace quetzal {
+namespace {
+
+/// Enough for every instance that a group can lose between two additions.
+constexpr int kMaxRemoved = 32;
+
+}  // namespace
 
 const Replica* FindReplica(const ReplicaSet& set, std::uint64_t id) {
   for (const Replica& it : set.replicas()) {
@@ -50,7 +56,25 @@
   for (const Replica& it : set.replicas()) {
     if (it.replica() != id) *rest.add_replicas() = it;
   }
+  *rest.mutable_removed() = set.removed();
   return rest;
 }
 
+void ListRemoved(ReplicaSet* set, std::uint64_t id) {
+  auto* removed = set->mutable_removed();
+  if (removed->size() >= kMaxRemoved) removed->erase(removed->begin());
+  removed->Add(id);
+}
+
+bool WasRemoved(const ReplicaSet& set, std::uint64_t id) {
+  return std::find(set.removed().begin(), set.removed().end(), id) != set.removed().end();
+}
+
+void AddLearner(ReplicaSet* set, const Replica& learner) {
+  *set->add_replicas() = learner;
+  auto* removed = set->mutable_removed();
+  removed->erase(std::remove(removed->begin(), removed->end(), learner.replica()),
+                 removed->end());
+}
+
 }  // namespace quetzal
--- a/src/libquetzal/agreement/replica_set.h
+++ b/src/libquetzal/agreement/replica_set.h
@@ -31,6 +31,15 @@
 /// `set` without the replica `id`.
 ReplicaSet WithoutReplica(const ReplicaSet& set, std::uint64_t id);
 
+/// Records that the replica `id` was removed and may be added again.
+void ListRemoved(ReplicaSet* set, std::uint64_t id);
+
+/// True when `id` is among the last replicas recorded by ListRemoved().
+bool WasRemoved(const ReplicaSet& set, std::uint64_t id);
+
+/// Adds a learner, and unlists it from the removed replicas.
+void AddLearner(ReplicaSet* set, const Replica& learner);
+
 /// Largest value that more than half of `values` reach or exceed; `T()` for none.
 template <class T>
 T MajorityValue(std::vector<T> values) {
--- a/src/libquetzal/control/group_repair.cc
+++ b/src/libquetzal/control/group_repair.cc
@@ -22,13 +22,20 @@
     const std::vector<ControlMembership::Peer>& control_instances,
     const IsDeadOrLeft& is_dead_or_left, SteadyTime now) {
   RecordAnswers(group, now);
+  const bool has_standby = std::any_of(
+      control_instances.begin(), control_instances.end(),
+      [&group](const auto& peer) { return Find(group, peer.name) == nullptr; });
+  // A group of even size tolerates no more losses than one with an instance less, and a
+  // standby takes the place of the removed one.
+  const bool safer_without = group.size() % 2 == 0 || has_standby;
   MembershipChange change;
   // Removals come first: while a dead instance counts, a majority needs more of the
   // others.
   for (const GroupMember& member : group) {
-    if (group.size() <= settings_.smallest || !IsLost(member.name, now)) continue;
+    if (group.size() <= settings_.smallest) break;
+    if (!IsLost(member.name, safer_without, now)) continue;
     if (!is_dead_or_left(member.name) || !MayTry(member.name, now)) continue;
-    change.kind = MembershipChangeKind::kRemove;
+    change.kind = MembershipChangeKind::kRemoveLost;
     change.name = member.name;
     return change;
   }
@@ -61,11 +68,12 @@
   });
 }
 
-bool GroupRepairPlanner::IsLost(const std::string& name, SteadyTime now) const {
+bool GroupRepairPlanner::IsLost(const std::string& name, bool safer_without,
+                                SteadyTime now) const {
   const auto unresponsive = unresponsive_since_.find(name);
   if (unresponsive == unresponsive_since_.end()) return false;
-  const Duration limit = HasSuccessor(unresponsive->second)
-                             ? settings_.replaced_removal_delay
+  const Duration limit = safer_without || HasSuccessor(unresponsive->second)
+                             ? settings_.removal_delay
                              : settings_.unreplaced_removal_delay;
   return now - unresponsive->second >= limit;
 }
--- a/src/libquetzal/control/group_repair.h
+++ b/src/libquetzal/control/group_repair.h
@@ -25,11 +25,10 @@
   std::size_t smallest = 3;
 
   /// Time without an answer after which an instance that its data centre declared dead is
-  /// removed, if another has joined since. Longer than a restart.
-  Duration replaced_removal_delay = std::chrono::seconds(6);
+  /// removed, if the group is safer without it. Longer than a restart.
+  Duration removal_delay = std::chrono::seconds(6);
 
-  /// The same if no other has joined. A removed instance cannot rejoin with its data
-  /// folder, so this is longer than a repair.
+  /// The same if the group tolerates no more losses without it. Longer than a repair.
   Duration unreplaced_removal_delay = std::chrono::minutes(10);
 
   /// Delay before a refused change is tried again.
@@ -58,7 +57,7 @@
  private:
   void RecordAnswers(const std::vector<GroupMember>& group, SteadyTime now);
   bool HasSuccessor(SteadyTime unresponsive_since) const;
-  bool IsLost(const std::string& name, SteadyTime now) const;
+  bool IsLost(const std::string& name, bool safer_without, SteadyTime now) const;
   bool MayTry(const std::string& name, SteadyTime now) const;
 
   const GroupRepairSettings settings_;
--- a/tests/agreement/cluster.h
+++ b/tests/agreement/cluster.h
@@ -123,6 +123,8 @@
   /// False for fewer than 3 voters: a group of two cannot commit after losing a folder.
   bool folder_loss_is_survivable() const;
 
+  MembershipChangeKind removal_kind = MembershipChangeKind::kRemove;
+
   /// Called before each delivery and sync; returns true to suppress it.
   std::function<bool(const StepView&)> hook;
 
