Distribution: a node whose source is doubtful asks other members

Change: while its source is not connected, reports no quorum or has a late heartbeat (1.2 s), a node asks two members of its data centre and one of another every 0.4 s for a later configuration. Ruled out: a shorter source time-out, which makes every node change its source in each election.

--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -72,6 +72,7 @@
   void ConfirmFresh(const Version& floor, const char* by);
   void MarkStale(const char* reason);
   void AskPeers();
+  void PollPeers();
   void Fetch(const std::string& peer_name);
 
   ResultCode Admit(const Subscribe& subscribe) const;
@@ -112,6 +113,7 @@
   SteadyTime next_ack_;
   SteadyTime behind_since_;
   SteadyTime next_repair_;
+  SteadyTime next_poll_;
   SteadyTime quorum_backed_at_;
   bool behind_ = false;
   Version refused_;
--- a/src/libquetzal/distribution/node_distribution_core_source.cc
+++ b/src/libquetzal/distribution/node_distribution_core_source.cc
@@ -19,6 +19,10 @@
 /// A source that does not answer a resync within one period may be frozen. Subscribers of
 /// such a source must also apply a change within two seconds.
 constexpr Duration kRepairPeriod = std::chrono::milliseconds(400);
+/// Members asked for a later configuration in one repair period while the source is
+/// doubtful. Some may have the same source, and so may most of a data centre.
+constexpr std::size_t kPolledLocalPeers = 2;
+constexpr std::size_t kPolledRemotePeers = 1;
 constexpr Duration kFetchAfter = std::chrono::milliseconds(1200);
 constexpr Duration kUpstreamTimeout = std::chrono::seconds(2);
 constexpr std::size_t kAddressesPerAnswer = 6;
@@ -202,8 +206,33 @@
   }
 }
 
+/// Asks random members for a configuration later than the applied one. A source that was
+/// separated from its quorum or froze is left only after its timeout, and until a member
+/// with a better source happens to be probed, nothing shows that a change was missed.
+void NodeDistribution::Core::PollPeers() {
+  const SteadyTime now = dependencies_.clock->Now();
+  if (now < next_poll_ || configuration_.configuration().configuration == nullptr) return;
+  next_poll_ = now + kRepairPeriod;
+  std::vector<std::string> local;
+  std::vector<std::string> remote;
+  for (const auto& [name, entry] : membership_->table().entries()) {
+    const Member& member = entry.member;
+    if (name == identity_.instance || member.control() || !TakesPart(member)) continue;
+    (member.data_centre() == identity_.data_centre ? local : remote).push_back(name);
+  }
+  const auto poll = [this](std::vector<std::string> peers, std::size_t count) {
+    for (std::size_t n = 0; n < std::min(count, peers.size()); ++n) {
+      std::swap(peers[n], peers[n + dependencies_.random->Below(peers.size() - n)]);
+      Fetch(peers[n]);
+    }
+  };
+  poll(std::move(local), kPolledLocalPeers);
+  poll(std::move(remote), kPolledRemotePeers);
+}
+
 void NodeDistribution::Core::TickRepair() {
   const SteadyTime now = dependencies_.clock->Now();
+  if (link_->doubtful()) PollPeers();
   const Version known = LaterOf(membership_->known_version(), link_->committed());
   if (!IsOlder(configuration_.applied_version(), known) || !IsOlder(refused_, known)) {
     behind_ = false;
--- a/src/libquetzal/distribution/source_link.cc
+++ b/src/libquetzal/distribution/source_link.cc
@@ -232,6 +232,10 @@
   if (channel != nullptr) channel->Close();
 }
 
+bool SourceLink::doubtful() const {
+  return !quorum_backed() || clock_->Now() - last_contact_at_ > settings_.heartbeat_limit;
+}
+
 bool SourceLink::Send(const UpMessage& message) {
   if (!welcomed_) return false;
   const std::string bytes = message.SerializeAsString();
--- a/src/libquetzal/distribution/source_link.h
+++ b/src/libquetzal/distribution/source_link.h
@@ -22,6 +22,7 @@
   Duration connect_timeout = std::chrono::seconds(1);  ///< In the first round.
   Duration connect_timeout_cap = std::chrono::seconds(8);
   Duration source_timeout = std::chrono::seconds(3);
+  Duration heartbeat_limit = std::chrono::milliseconds(1200);  ///< Period and jitter.
   /// After a round in which every candidate failed, the next source is kept at least for
   /// this time, even without a quorum, unless its connection fails.
   Duration failed_round_hold = std::chrono::seconds(15);
@@ -66,6 +67,10 @@
 
   bool open() const { return welcomed_; }
   bool quorum_backed() const { return welcomed_ && quorum_backed_; }
+
+  /// True when the source may no longer deliver confirmed configurations: it is not
+  /// connected, reports no quorum behind it, or its heartbeat is late.
+  bool doubtful() const;
   bool through_relay() const { return channel_ != nullptr && current_.relay; }
   const Endpoint& address() const { return current_.address; }
   const std::vector<std::string>& path() const { return path_; }
