Agreement: a group that restarted as a whole elects without waiting for old leases

Cause: after a restart a replica grants no vote for 0.4 s, since a leader's lease may rely on it. Change: during that wait a replica asks all others for a vote of a new kind and campaigns once every one would grant it. A replica grants it if its process has neither led nor heard from a leader; the vote counts only if all replicas, learners included, grant it. So a leader that still runs prevents it, and so does any replica that does not answer or a removal in the log.

--- a/src/libquetzal/agreement/raft_core.cc
+++ b/src/libquetzal/agreement/raft_core.cc
@@ -37,12 +37,13 @@
   } else if (fresh()) {
     TryBootstrap();
   } else if (MayCampaign()) {
+    TickRestart();
     const bool sole_voter =
         VoterCount(log_.replicas()) == 1 && IsVoter(log_.replicas(), replica_);
     if (sole_voter && role_ == RaftRole::kFollower && !HeardFromLeaderRecently()) {
-      Campaign(false, false);
+      Campaign(false, ElectionKind::kNormal);
     } else if (clock_->Now() >= election_deadline_) {
-      Campaign(true, false);
+      Campaign(true, ElectionKind::kNormal);
     }
   }
   ResolveReads();
@@ -92,7 +93,7 @@
       return OnSnapshotReply(message);
     case AgreementMessage::kHandover:
       if (role_ != RaftRole::kLeader && MayCampaign()) {
-        Campaign(false, true);
+        Campaign(false, ElectionKind::kHandover);
       }
       return;
     default:
@@ -104,7 +105,10 @@
 /// no further handling.
 bool RaftCore::CheckTerm(const AgreementMessage& message) {
   const bool vote = message.has_vote();
-  if (vote && !message.vote().handover() && HeardFromLeaderRecently()) {
+  const bool no_lease =
+      vote && (message.vote().handover() ||
+               (message.vote().group_restarted() && NoLeaderSinceStart()));
+  if (vote && !no_lease && HeardFromLeaderRecently()) {
     if (message.vote().pre_vote() || message.term() <= term()) {
       AgreementMessage refusal = MakeMessage(message.from());
       refusal.mutable_vote_reply()->set_pre_vote(message.vote().pre_vote());
@@ -168,11 +172,12 @@
   }
 }
 
-void RaftCore::Campaign(bool pre_vote, bool handover) {
-  ResetElectionDeadline();
+void RaftCore::Campaign(bool pre_vote, ElectionKind kind) {
+  // Questions during the wait after a restart do not postpone the election that follows.
+  if (!pre_vote || kind != ElectionKind::kGroupRestarted) ResetElectionDeadline();
   role_ = pre_vote ? RaftRole::kPreCandidate : RaftRole::kCandidate;
   leader_ = 0;
-  handover_election_ = handover;
+  election_kind_ = kind;
   votes_.clear();
   if (pre_vote) {
     votes_.insert(replica_);
@@ -183,12 +188,14 @@
     own_vote_write_ = NewWrite().number;
   }
   for (const Replica& it : log_.replicas().replicas()) {
-    if (!it.voter() || it.replica() == replica_) continue;
+    const bool asked = it.voter() || kind == ElectionKind::kGroupRestarted;
+    if (!asked || it.replica() == replica_) continue;
     AgreementMessage message = MakeMessage(it.replica());
     message.set_term(pre_vote ? term() + 1 : term());
     VoteRequest* request = message.mutable_vote();
     request->set_pre_vote(pre_vote);
-    request->set_handover(handover);
+    request->set_handover(kind == ElectionKind::kHandover);
+    request->set_group_restarted(kind == ElectionKind::kGroupRestarted);
     request->set_last_index(log_.last_index());
     request->set_last_term(log_.last_term());
     if (pre_vote) {
@@ -247,11 +254,12 @@
     if (role_ == RaftRole::kCandidate && votes_.size() > peers_.size()) BootstrapGroup();
     return;
   }
+  if (election_kind_ == ElectionKind::kGroupRestarted) return OnRestartVotes();
   const bool won = MajoritySatisfies(
       log_.replicas(), [this](std::uint64_t id) { return votes_.count(id) > 0; });
   if (!won) return;
   if (role_ == RaftRole::kPreCandidate) {
-    Campaign(false, false);
+    Campaign(false, ElectionKind::kNormal);
   } else if (role_ == RaftRole::kCandidate) {
     BecomeLeader(LOG_ENTRY_EMPTY, "");
   }
@@ -259,6 +267,7 @@
 
 void RaftCore::BecomeLeader(LogEntryKind first_kind, std::string first_payload) {
   role_ = RaftRole::kLeader;
+  had_leader_ = true;
   leader_ = replica_;
   leader_address_ = self_.endpoint.ToString();
   leader_since_ = clock_->Now();
--- a/src/libquetzal/agreement/raft_core.h
+++ b/src/libquetzal/agreement/raft_core.h
@@ -118,9 +118,17 @@
     SteadyTime hello_sent_at;
   };
 
+  // The first election after a restart of the whole group (raft_core_restart.cc).
+  bool NoLeaderSinceStart() const;
+  bool EveryReplicaGranted() const;
+  int RankInGroup() const;
+  void TickRestart();
+  void OnRestartVotes();
+
   // Elections (raft_core.cc).
   void BecomeFollower(std::uint64_t term, std::uint64_t leader, ResultCode reason);
-  void Campaign(bool pre_vote, bool handover);
+  enum class ElectionKind { kNormal, kHandover, kGroupRestarted };
+  void Campaign(bool pre_vote, ElectionKind kind);
   void BecomeLeader(LogEntryKind first_kind, std::string first_payload);
   void ResetElectionDeadline();
   bool MayCampaign() const;
@@ -204,7 +212,10 @@
 
   std::set<std::uint64_t> votes_;
   std::uint64_t own_vote_write_ = 0;
-  bool handover_election_ = false;
+  ElectionKind election_kind_ = ElectionKind::kNormal;
+  bool had_leader_ = false;           ///< This process has heard from a leader or led.
+  SteadyTime restart_pre_vote_at_{};  ///< Next question to the other voters.
+  std::optional<SteadyTime> restart_campaign_at_;  ///< Every replica would grant a vote.
 
   std::map<std::uint64_t, Progress> progress_;
   bool has_unsent_updates_ = false;  ///< Entries or a commit index must be sent.
--- a/src/libquetzal/agreement/raft_core_follower.cc
+++ b/src/libquetzal/agreement/raft_core_follower.cc
@@ -12,6 +12,7 @@
   leader_ = message.from();
   leader_address_ = message.from_address();
   last_leader_contact_ = clock_->Now();
+  had_leader_ = true;
   ResetElectionDeadline();
 }
 
--- a/src/libquetzal/agreement/raft_log.cc
+++ b/src/libquetzal/agreement/raft_log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 
+#include "agreement/replica_set.h"
 #include "base/result_code.h"
 
 namespace quetzal {
@@ -101,4 +102,14 @@
   return it == replica_sets_.rend() ? replica_sets_.front().second : it->second;
 }
 
+bool RaftLog::KeptAllReplicas() const {
+  return std::all_of(
+      replica_sets_.begin(), replica_sets_.end(), [this](const auto& indexed) {
+        const auto& replicas = indexed.second.replicas();
+        return std::all_of(replicas.begin(), replicas.end(), [this](const Replica& it) {
+          return FindReplica(this->replicas(), it.replica()) != nullptr;
+        });
+      });
+}
+
 }  // namespace quetzal
--- a/src/libquetzal/agreement/raft_log.h
+++ b/src/libquetzal/agreement/raft_log.h
@@ -49,6 +49,10 @@
   std::uint64_t replicas_index() const { return replica_sets_.back().first; }
   const ReplicaSet& ReplicasAt(std::uint64_t index) const;
 
+  /// True when no group in the log, since the snapshot, had a replica that the last one
+  /// does not have.
+  bool KeptAllReplicas() const;
+
  private:
   std::shared_ptr<const Snapshot> snapshot_;
   std::uint64_t snapshot_index_ = 0;
--- a/tests/agreement/session_test.cc
+++ b/tests/agreement/session_test.cc
@@ -99,6 +99,42 @@
   EXPECT_TRUE(cluster.Converges());
 }
 
+// Nobody can hold a lease once every process has restarted.
+TEST(AgreementSession, AGroupThatRestartedAsAWholeElectsAtOnce) {
+  for (const int voters : {3, 5}) {
+    Cluster cluster(voters, 18, TestOptions());
+    ASSERT_TRUE(cluster.AwaitLeader());
+    cluster.Propose(*cluster.LeaseHolder());
+    cluster.Run(milliseconds(300));
+    for (std::size_t n = 0; n < cluster.size(); ++n) {
+      cluster.Crash(n, CrashKind::kAfterSync);
+    }
+    for (std::size_t n = 0; n < cluster.size(); ++n) cluster.Restart(n);
+    cluster.Run(milliseconds(150));
+    EXPECT_TRUE(cluster.LeaseHolder().has_value()) << voters << " voters";
+    EXPECT_TRUE(cluster.Converges());
+    EXPECT_TRUE(cluster.violations().empty());
+  }
+}
+
+TEST(AgreementSession, ALeaderThatDidNotRestartKeepsItsLease) {
+  Cluster cluster(3, 19, TestOptions());
+  ASSERT_TRUE(cluster.AwaitLeader());
+  cluster.Run(milliseconds(300));
+  const std::size_t leader = *cluster.LeaseHolder();
+  // The others restart while the leader cannot be reached, and its lease still runs.
+  cluster.Isolate(leader);
+  for (std::size_t n = 0; n < cluster.size(); ++n) {
+    if (n == leader) continue;
+    cluster.Crash(n, CrashKind::kAfterSync);
+    cluster.Restart(n);
+  }
+  cluster.Run(milliseconds(250));
+  EXPECT_EQ(cluster.LeaseHolder(), leader);
+  EXPECT_TRUE(cluster.Converges());
+  EXPECT_TRUE(cluster.violations().empty());
+}
+
 TEST(AgreementSession, ChangesOfTheGroupNeverOverlap) {
   Cluster cluster(5, 12, TestOptions());
   ASSERT_TRUE(cluster.AwaitLeader());
