Calls: short work goes first at equal priority, and queues admit by mean time

The calls (40 ms) and filing-submit (210 ms) have the same priority, and among equals reads yielded to orders: every call that met a queue was shed, and 160 ms of finished work with it. Also, a request was refused unless the mean time plus deviation fitted its objective, so requests that would have been answered in time more often than not were refused while servers had room. Change: at equal priority, kinds of work that take at most half as long as the slowest kind of the service come first; then orders before reads, as before. The objective is compared with the mean. Requests of equal rank are served in turn (they were served newest first). Tests: three load patterns in load_decisions_test; the one of calls behind orders and the one of varying work failed before.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -11,11 +11,11 @@
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 constexpr double kSlowStartFloor = 0.1;
 
-/// A larger rank is shed earlier: low priority first, then idempotent requests before
-/// others, then the request with the latest objective (or else deadline), since its
-/// caller can retry later.
+/// A larger rank is shed earlier: low priority first, then long work, which holds up more
+/// others, then idempotent requests before others, then the request with the latest
+/// objective (or else deadline), since its caller can retry later.
 auto ShedRank(const AdmissionRequest& request) {
-  return std::make_tuple(request.priority, request.idempotent,
+  return std::make_tuple(request.priority, !request.short_work, request.idempotent,
                          request.objective.value_or(request.deadline));
 }
 
@@ -36,7 +36,7 @@
   return decisions;
 }
 
-AdmissionControl::Decisions AdmissionControl::Offer(const AdmissionRequest& request,
+AdmissionControl::Decisions AdmissionControl::Offer(AdmissionRequest request,
                                                     SteadyTime now) {
   const ResultCode refusal = RefusalByState();
   if (refusal != ResultCode::kOk) return {Refuse(request.id, refusal, now)};
@@ -44,6 +44,7 @@
     ++outstanding_;
     return {{request.id, ResultCode::kOk, {}}};
   }
+  request.short_work = service_times_.IsShort(request.work);
   const Duration wait = EstimateWaitFor(request, now);
   // The expected wait is zero until the first service time has been measured.
   if (request.max_wait && wait >= *request.max_wait) {
@@ -144,7 +145,7 @@
 bool AdmissionControl::MeetsObjective(const AdmissionRequest& request, Duration wait,
                                       SteadyTime now) const {
   return !request.objective ||
-         *request.objective - now >= wait + service_times_.UpperEstimate(request.work);
+         *request.objective - now >= wait + service_times_.Expected(request.work);
 }
 
 Duration AdmissionControl::RetryAfter(SteadyTime now) const {
@@ -161,8 +162,8 @@
 
 void AdmissionControl::Enqueue(const AdmissionRequest& request) {
   // At equal priority and idempotence, the earliest objective (or else deadline) is
-  // served first and shed last.
-  auto it = std::upper_bound(queue_.begin(), queue_.end(), request, ShedBefore);
+  // served first and shed last; requests of equal rank are served in turn.
+  auto it = std::lower_bound(queue_.begin(), queue_.end(), request, ShedBefore);
   queue_.insert(it, request);
 }
 
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -32,6 +32,7 @@
   std::optional<SteadyTime> objective;
   std::optional<Duration> max_wait;  ///< An expected wait this long is refused.
   std::string work;                  ///< Kind of work, to estimate its time.
+  bool short_work = false;           ///< Set by Offer(); see ServiceTimes::IsShort.
 };
 
 /// Decision on one request: kOk admits it, any other code refuses it (not run).
@@ -52,7 +53,7 @@
   Decisions SetLimits(const AdmissionLimits& limits, SteadyTime now);
 
   /// Handles a new request. A request without a decision is queued.
-  Decisions Offer(const AdmissionRequest& request, SteadyTime now);
+  Decisions Offer(AdmissionRequest request, SteadyTime now);
 
   /// Frees the slot of an admitted request. `service_time` is zero when the request was
   /// cancelled or failed, since its duration does not reflect the speed of the server.
--- a/src/libquetzal/calls/service_times.cc
+++ b/src/libquetzal/calls/service_times.cc
@@ -1,5 +1,7 @@
 #include "calls/service_times.h"
 
+#include <algorithm>
+
 namespace quetzal {
 namespace {
 
@@ -16,9 +18,7 @@
     average->mean = time;
     return;
   }
-  const Duration off = time - average->mean;
-  average->mean += off / kAveragedRequests;
-  average->deviation += (std::chrono::abs(off) - average->deviation) / kAveragedRequests;
+  average->mean += (time - average->mean) / kAveragedRequests;
 }
 
 void ServiceTimes::Record(const std::string& work, Duration time) {
@@ -32,9 +32,12 @@
   return AverageFor(work).mean;
 }
 
-Duration ServiceTimes::UpperEstimate(const std::string& work) const {
-  const Average& average = AverageFor(work);
-  return average.mean + average.deviation;
+bool ServiceTimes::IsShort(const std::string& work) const {
+  const auto it = by_work_.find(work);
+  if (it == by_work_.end()) return false;
+  return std::any_of(by_work_.begin(), by_work_.end(), [it](const auto& other) {
+    return 2 * it->second.mean <= other.second.mean;
+  });
 }
 
 const ServiceTimes::Average& ServiceTimes::AverageFor(const std::string& work) const {
--- a/src/libquetzal/calls/service_times.h
+++ b/src/libquetzal/calls/service_times.h
@@ -21,8 +21,8 @@
   /// zero before the first one.
   Duration Expected(const std::string& work) const;
 
-  /// Time that most requests of this kind do not exceed: mean plus mean deviation.
-  Duration UpperEstimate(const std::string& work) const;
+  /// True for a kind that takes at most half as long as the slowest one.
+  bool IsShort(const std::string& work) const;
 
   /// Mean over all kinds.
   Duration mean() const { return all_.mean; }
@@ -30,7 +30,6 @@
  private:
   struct Average {
     Duration mean{};
-    Duration deviation{};
   };
   static void AddSample(Duration time, Average* average);
   const Average& AverageFor(const std::string& work) const;
--- a/tests/calls/load_decisions_test.cc
+++ b/tests/calls/load_decisions_test.cc
@@ -127,6 +127,47 @@
   EXPECT_EQ(CodeOf(3), ResultCode::kPending);
 }
 
+// Calls of another service's requests arrive at a server that is full of long orders of
+// the same priority: a refused call would waste the work of the request that made it.
+TEST_F(AdmissionPatternTest, ShortCallsOvertakeLongOrdersOfTheSamePriority) {
+  TrainServiceTime("order", milliseconds(200));
+  TrainServiceTime("call", milliseconds(40));
+  for (int id = 1; id <= 6; ++id) Offer(id, "order", seconds(2));
+  for (int id = 7; id <= 9; ++id) Offer(id, "call", milliseconds(400));
+  for (int id = 7; id <= 9; ++id) EXPECT_EQ(CodeOf(id), ResultCode::kPending) << id;
+  for (int id = 7; id <= 9; ++id) {
+    Finish("call", milliseconds(40));
+    EXPECT_EQ(CodeOf(id), ResultCode::kOk) << id;
+  }
+  EXPECT_EQ(CodeOf(3), ResultCode::kPending);
+}
+
+// Kinds of work of similar length keep the order of their callers' objectives.
+TEST_F(AdmissionPatternTest, WorkOfSimilarLengthIsNotReordered) {
+  TrainServiceTime("read", milliseconds(120));
+  TrainServiceTime("report", milliseconds(200));
+  for (const int id : {1, 2}) Offer(id, "read", seconds(2));
+  Offer(3, "report", seconds(1));
+  Offer(4, "read", seconds(2));
+  Finish("read", milliseconds(120));
+  EXPECT_EQ(CodeOf(3), ResultCode::kOk);
+  EXPECT_EQ(CodeOf(4), ResultCode::kPending);
+}
+
+// Work whose time varies: half of the requests with just enough time for the mean are
+// answered in time, which is better than to refuse them all.
+TEST_F(AdmissionPatternTest, VaryingWorkIsAdmittedByItsMeanTime) {
+  TrainServiceTime("read", milliseconds(100));
+  for (int n = 0; n < 100; ++n) {
+    Offer(1000 + n, "read", seconds(9));
+    Finish("read", n % 2 == 0 ? milliseconds(20) : milliseconds(180));
+  }
+  decisions_.clear();
+  for (const int id : {1, 2}) Offer(id, "read", seconds(2));
+  Offer(3, "read", milliseconds(180));
+  EXPECT_EQ(CodeOf(3), ResultCode::kPending);
+}
+
 // A server becomes slow while requests are queued for it.
 TEST_F(AdmissionPatternTest, ALateRequestIsShedWhenAnotherCanStillBeInTime) {
   TrainServiceTime("read", milliseconds(100));
