Node: takes callers once it knows the members of the fleet

Cause (e2e.rolling_restart, KNOWN-RED: 5 reads refused with 5002 no_backend_server): a restarted node serves as soon as a control instance has confirmed its configuration, which may be before the first exchange with a peer; until then it knows no backend server but its own, and refuses. Change: callers and the readiness check wait for the first exchange, at most 2 s after the start.

--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -53,6 +53,7 @@
   /// its peers.
   Duration cut_off_timeout = std::chrono::seconds(3);
   Duration leave_limit = std::chrono::seconds(3);
+  Duration join_limit = std::chrono::seconds(2);  ///< See Status::joined.
   Duration backoff_base = std::chrono::milliseconds(100);
   Duration backoff_cap = std::chrono::seconds(2);
 };
@@ -78,6 +79,8 @@
     Version applied_version;
     Version known;  ///< Highest version that the node learned of.
     bool serving = false;
+    /// The members are known: a peer has answered, or none did within the join limit.
+    bool joined = false;
     bool quorum_backed = false;  ///< A control instance with a quorum backs `source`.
     bool relay = false;
     bool cut_off = false;  ///< No quorum-backed source for cut_off_timeout.
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -373,6 +373,8 @@
   status.applied_version = configuration_.applied_version();
   status.known = LaterOf(membership_->known_version(), link_->committed());
   status.serving = configuration_.serving();
+  status.joined = settings_.seeds.empty() || membership_->joined() ||
+                  now - started_at_ >= settings_.join_limit;
   status.quorum_backed = link_->quorum_backed();
   status.relay = relay_;
   status.cut_off = now - quorum_backed_at_ > settings_.cut_off_timeout;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -228,8 +228,10 @@
   if (name.empty()) return;
   server_interface_ = ServerInterfaceRegistry::Instance().Create(
       name, ServerInterfaceDependencies{
-                backend_monitor_.get(), settings.Text("service"),
-                [this] { return !stop_requested_ && distribution_->status().serving; }});
+                backend_monitor_.get(), settings.Text("service"), [this] {
+                  const NodeDistribution::Status status = distribution_->status();
+                  return !stop_requested_ && status.serving && status.joined;
+                }});
   if (!settings.Text("heartbeats").empty()) {
     heartbeat_server_ = AdminServerRegistry::Instance().Create("cpprest");
     heartbeat_server_->Listen(
@@ -259,7 +261,8 @@
 void Node::Poll() {
   backend_monitor_->Tick();
   const auto snapshot = distribution_->routing().snapshot();
-  if (snapshot && !accepting_) StartAccepting();
+  // Callers that come before the backend servers of the fleet are known would be refused.
+  if (snapshot && !accepting_ && distribution_->status().joined) StartAccepting();
   if (!snapshot || snapshot->version.index() <= keys_version_.index()) return;
   keys_version_ = snapshot->version;
   key_holder_->SetConfiguration(*snapshot->configuration);
