Distribution: replayed logs are published once; starting nodes ask control instances

Nodes without a configuration also waited for relays that had none either. Change: configurations that follow each other before the publisher's executor runs are sent as one; a node without a configuration prefers a control instance, and moves to a relay once it has one, as before. Tests: publisher_test counts one applied configuration for a log of 25 (25 before), and a data centre that restarts as a whole serves within 250 ms and is back on its relays after 4 s.

--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -15,7 +15,7 @@
 constexpr Duration kTick = std::chrono::milliseconds(100);
 /// A question costs a control instance at most one round trip to its quorum.
 constexpr Duration kFreshnessRetry = std::chrono::milliseconds(200);
-/// Longest wait for members to answer before a control instance is used as a source.
+/// Longest wait for members to answer before a source is used.
 constexpr Duration kMemberWait = std::chrono::milliseconds(600);
 /// Time for gossip to carry the announcement of a leaving node to the fleet.
 constexpr Duration kDisseminationTime = std::chrono::milliseconds(600);
@@ -312,7 +312,7 @@
 }
 
 bool NodeDistribution::Core::WaitsForMembers() const {
-  // Members usually answer soon and name a relay, which saves load on control instances.
+  // A member may know a higher incarnation of this instance, which its reports must name.
   return !settings_.seeds.empty() && !membership_->joined() &&
          dependencies_.clock->Now() - started_at_ < kMemberWait;
 }
@@ -330,7 +330,15 @@
       std::find(relays.begin(), relays.end(), identity_.instance) != relays.end();
   if (relay != relay_) Emit(relay ? "relay.started" : "relay.ended", {});
   relay_ = relay;
+  std::vector<SourceLink::Candidate> controls;
+  for (const std::string& control : RankedControls()) {
+    controls.push_back({*TryEndpoint(control), false, ""});
+  }
   std::vector<SourceLink::Candidate> candidates;
+  // After a restart of many nodes the relays have no configuration either, and would send
+  // it to their subscribers over links that carry requests.
+  starting_ = configuration_.configuration().configuration == nullptr;
+  if (starting_) candidates = controls;
   if (!relay) {
     for (const std::string& name : RankByRendezvous(relays, identity_.instance)) {
       const Member& member = membership_->table().Find(name)->member;
@@ -338,9 +346,7 @@
       if (address) candidates.push_back({*address, true, name});
     }
   }
-  for (const std::string& control : RankedControls()) {
-    candidates.push_back({*TryEndpoint(control), false, ""});
-  }
+  if (!starting_) candidates.insert(candidates.end(), controls.begin(), controls.end());
   link_->SetCandidates(std::move(candidates));
 }
 
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -99,6 +99,7 @@
   std::uint64_t seen_revision_ = 0;
   std::uint64_t seen_false_death_reports_ = 0;
   bool has_sources_ = false;
+  bool starting_ = true;  ///< No configuration yet; control instances are preferred.
   bool relay_ = false;
   void BeginLeaving();
 
--- a/src/libquetzal/distribution/node_distribution_core_source.cc
+++ b/src/libquetzal/distribution/node_distribution_core_source.cc
@@ -120,6 +120,7 @@
 }
 
 void NodeDistribution::Core::OnApplied() {
+  if (starting_) RefreshSources();
   const Version& applied = configuration_.applied_version();
   membership_->SetAppliedVersion(applied);
   // Subscribers of this relay get the update before the own report is sent.
--- a/src/libquetzal/distribution/publisher.cc
+++ b/src/libquetzal/distribution/publisher.cc
@@ -1,10 +1,12 @@
 #include "distribution/publisher.h"
 
 #include <atomic>
+#include <mutex>
 #include <utility>
 #include <vector>
 
 #include "distribution/subscriber_acceptor.h"
+#include "membership/version_order.h"
 
 namespace quetzal {
 
@@ -48,11 +50,18 @@
     Post([this] { fanout_->CloseAll(); });
   }
 
+  /// Configurations that follow each other before the executor runs, as when a log is
+  /// replayed, are not sent one by one.
   void Publish(const Version& version, std::shared_ptr<const Configuration> value) {
-    Post([this, version, value = std::move(value)] {
-      fanout_->Publish(version, Measured(value));
-      UpdateCounters();
-    });
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      const bool scheduled = unpublished_ != nullptr;
+      if (scheduled && !IsOlder(unpublished_version_, version)) return;
+      unpublished_ = std::move(value);
+      unpublished_version_ = version;
+      if (scheduled) return;
+    }
+    Post([this] { PublishLatest(); });
   }
 
   void SetQuorumBacked(bool quorum_backed) {
@@ -72,6 +81,18 @@
         [self = shared_from_this(), task = std::move(task)] { task(); });
   }
 
+  void PublishLatest() {
+    std::shared_ptr<const Configuration> value;
+    Version version;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      value = std::exchange(unpublished_, nullptr);
+      version = unpublished_version_;
+    }
+    fanout_->Publish(version, Measured(value));
+    UpdateCounters();
+  }
+
   void SendHeartbeats() {
     fanout_->SendHeartbeats();
     UpdateCounters();
@@ -130,6 +151,9 @@
   std::unique_ptr<Timer> timer_;
   bool quorum_backed_ = false;
   std::vector<std::string> addresses_;
+  std::mutex mutex_;  ///< Guards the next two members. Leaf lock.
+  std::shared_ptr<const Configuration> unpublished_;
+  Version unpublished_version_;
   std::atomic<std::size_t> sessions_{0};
   std::atomic<std::uint64_t> bytes_sent_{0};
 };
