Membership: tables that differ are exchanged although most members agree

Cause: three digests in a row had to differ before a node exchanged tables, and each contact with a member of an equal table began the count anew. Where most members miss the same one, the few that know it are drowned out. Change: an equal table no longer resets the count; the pause between exchanges bounds them as before. The bounds on idle traffic (fleet_test) hold. Ruled out: exchanges every second after a start did not mend it alone and are not needed with this change.

--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -97,10 +97,9 @@
 }
 
 void Membership::CompareDigest(const GossipDatagram& datagram) {
-  if (datagram.table_digest() == table_.Digest()) {
-    digest_mismatches_ = 0;
-    return;
-  }
+  // Members with an equal table say nothing about the others: where most miss the same
+  // member, the few that know it would never be asked.
+  if (datagram.table_digest() == table_.Digest()) return;
   const SteadyTime now = clock_->Now();
   const MemberTable::Entry* entry = table_.Find(datagram.sender());
   // Pending updates explain a difference; gossip delivers them without an exchange.
