--- a/src/plugins/http1_beast/http1_client_connection.cc
+++ b/src/plugins/http1_beast/http1_client_connection.cc
@@ -32,6 +32,14 @@
   return std::chrono::seconds(seconds);
 }
 
+/// Interim answers, and late answers to earlier requests, that may precede an answer. A
+/// server in trouble may send them without end.
+constexpr std::size_t kMaxSkippedMessages = 16;
+
+[[noreturn]] void ThrowNoAnswer() {
+  throw Error(ResultCode::kAnswerCut, "the answer does not begin");
+}
+
 }  // namespace
 
 Http1ClientConnection::Http1ClientConnection(
@@ -99,6 +107,8 @@
   std::string_view method = HeaderValue(stream_->headers, ":method");
   if (method.empty()) method = "GET";
   head_request_ = method == "HEAD";
+  skipped_messages_ = 0;
+  skipped_bytes_ = 0;
   ResetParser();
   writer_ = Http1Writer();
   unconsumed_bytes_ = 0;
@@ -165,7 +175,10 @@
     throw Error(ResultCode::kAnswerCut, "the server switched to another protocol");
   }
   skip_message_ = head.status < 200 || IsForOtherRequest(head.headers);
-  if (skip_message_) return;
+  if (skip_message_) {
+    if (++skipped_messages_ > kMaxSkippedMessages) ThrowNoAnswer();
+    return;
+  }
   answer_begun_ = true;
   keep_alive_ = head.keep_alive && !head.until_close;
   peer_idle_limit_ = ParseKeepAliveTimeout(HeaderValue(head.headers, "keep-alive"));
@@ -188,7 +201,11 @@
 }
 
 void Http1ClientConnection::OnBody(std::string_view bytes) {
-  if (skip_message_) return;
+  if (skip_message_) {
+    skipped_bytes_ += bytes.size();
+    if (skipped_bytes_ > manager_->options().max_buffered_bytes) ThrowNoAnswer();
+    return;
+  }
   unconsumed_bytes_ += bytes.size();
   stream_->handler->OnData(bytes);
 }
--- a/src/plugins/http1_beast/http1_client_connection.h
+++ b/src/plugins/http1_beast/http1_client_connection.h
@@ -89,7 +89,9 @@
   bool head_request_ = false;
   bool sent_ = false;  ///< Bytes of the request may have been sent.
   bool request_done_ = false;
-  bool skip_message_ = false;  ///< Interim, or for an earlier request.
+  bool skip_message_ = false;         ///< Interim, or for an earlier request.
+  std::size_t skipped_messages_ = 0;  ///< Before the answer to the current request.
+  std::size_t skipped_bytes_ = 0;     ///< In the bodies of these messages.
   bool answer_begun_ = false;
   bool answer_done_ = false;
   bool keep_alive_ = false;
