--- a/src/libquetzal/calls/service_times.cc
+++ b/src/libquetzal/calls/service_times.cc
@@ -13,12 +13,12 @@
 
 }  // namespace
 
-void ServiceTimes::AddSample(Duration time, Average* average) {
-  if (average->mean == Duration::zero()) {
-    average->mean = time;
+void ServiceTimes::AddSample(Duration time, Duration* mean) {
+  if (*mean == Duration::zero()) {
+    *mean = time;
     return;
   }
-  average->mean += (time - average->mean) / kAveragedRequests;
+  *mean += (time - *mean) / kAveragedRequests;
 }
 
 void ServiceTimes::Record(const std::string& work, Duration time) {
@@ -29,20 +29,15 @@
 }
 
 Duration ServiceTimes::Expected(const std::string& work) const {
-  return AverageFor(work).mean;
+  const auto it = by_work_.find(work);
+  return it == by_work_.end() ? all_ : it->second;
 }
 
 bool ServiceTimes::IsShort(const std::string& work) const {
   const auto it = by_work_.find(work);
   if (it == by_work_.end()) return false;
-  return std::any_of(by_work_.begin(), by_work_.end(), [it](const auto& other) {
-    return 2 * it->second.mean <= other.second.mean;
-  });
-}
-
-const ServiceTimes::Average& ServiceTimes::AverageFor(const std::string& work) const {
-  const auto it = by_work_.find(work);
-  return it == by_work_.end() ? all_ : it->second;
+  return std::any_of(by_work_.begin(), by_work_.end(),
+                     [it](const auto& other) { return 2 * it->second <= other.second; });
 }
 
 }  // namespace quetzal
--- a/src/libquetzal/calls/service_times.h
+++ b/src/libquetzal/calls/service_times.h
@@ -25,17 +25,13 @@
   bool IsShort(const std::string& work) const;
 
   /// Mean over all kinds.
-  Duration mean() const { return all_.mean; }
+  Duration mean() const { return all_; }
 
  private:
-  struct Average {
-    Duration mean{};
-  };
-  static void AddSample(Duration time, Average* average);
-  const Average& AverageFor(const std::string& work) const;
-
-  Average all_;
-  std::unordered_map<std::string, Average> by_work_;
+  static void AddSample(Duration time, Duration* mean);
+
+  Duration all_{};
+  std::unordered_map<std::string, Duration> by_work_;
 };
 
 }  // namespace quetzal
