Runtime: pending connections are accepted through Asio

Cause: wrote accept4, its error cases and the protocol of the socket anew beside the acceptor, which does all of it. Errors still end the loop; an aborted connection is skipped by Asio.

--- a/src/plugins/runtime_asio/tcp_listener.cc
+++ b/src/plugins/runtime_asio/tcp_listener.cc
@@ -1,9 +1,7 @@
 #include "plugins/runtime_asio/tcp_listener.h"
 
 #include <sys/socket.h>
-#include <unistd.h>
 
-#include <cerrno>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -36,8 +34,7 @@
 Endpoint TcpListener::Bind(const Endpoint& endpoint) {
   const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
   boost::system::error_code ec;
-  protocol_ = address.protocol();
-  acceptor_.open(protocol_, ec);
+  acceptor_.open(address.protocol(), ec);
   // With SO_REUSEADDR two sockets can bind the same address as long as neither listens.
   // So the option is set only if the bind fails without it, for example because
   // connections of an earlier process are still in TIME_WAIT.
@@ -59,8 +56,8 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
   acceptor_.listen(asio::socket_base::max_listen_connections, ec);
   if (ec) ThrowPortTaken(bound_, ec);
-  // Asio would set this at the first accept; AcceptPending() needs it before.
-  acceptor_.native_non_blocking(true, ec);
+  // AcceptPending() returns when no connection waits.
+  acceptor_.non_blocking(true, ec);
   listening_ = true;
   asio::post(strand_, [self = shared_from_this()] { self->Accept(); });
 }
@@ -100,18 +97,10 @@
 std::vector<TcpListener::Socket> TcpListener::AcceptPending() {
   std::vector<Socket> accepted;
   for (;;) {
-    const int fd = ::accept4(acceptor_.native_handle(), nullptr, nullptr,
-                             SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0 && (errno == EINTR || errno == ECONNABORTED)) continue;
-    if (fd < 0) return accepted;
     boost::system::error_code ec;
-    Socket socket(asio::make_strand(context_));
-    socket.assign(protocol_, fd, ec);
-    if (ec) {
-      ::close(fd);
-    } else {
-      accepted.push_back(std::move(socket));
-    }
+    Socket socket = acceptor_.accept(asio::make_strand(context_), ec);
+    if (ec) return accepted;
+    accepted.push_back(std::move(socket));
   }
 }
 
--- a/src/plugins/runtime_asio/tcp_listener.h
+++ b/src/plugins/runtime_asio/tcp_listener.h
@@ -53,7 +53,6 @@
   ConnectionHandler on_connection_;
   Strand strand_;
   Endpoint bound_;
-  boost::asio::ip::tcp protocol_ = boost::asio::ip::tcp::v4();
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_timer_;
 };
