Base: one function picks random elements

Cause: PollPeers wrote the partial shuffle of Membership::PickSome and the filter of LocalMembers again. Change: PickSome is a function of Random, used by both; PollPeers asks LocalMembers, and RemoteMembers for the other data centres.

--- a/src/libquetzal/base/random.h
+++ b/src/libquetzal/base/random.h
@@ -1,8 +1,12 @@
 #ifndef QUETZAL_BASE_RANDOM_H_
 #define QUETZAL_BASE_RANDOM_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <random>
+#include <utility>
+#include <vector>
 
 #include "base/clock.h"
 
@@ -30,6 +34,17 @@
 
   std::uint64_t Next() { return engine_(); }
 
+  /// Up to `count` elements of `from`, in random order.
+  template <class T>
+  std::vector<T> PickSome(std::vector<T> from, std::size_t count) {
+    count = std::min(count, from.size());
+    for (std::size_t n = 0; n < count; ++n) {
+      std::swap(from[n], from[n + Below(from.size() - n)]);
+    }
+    from.resize(count);
+    return from;
+  }
+
  private:
   std::mt19937_64 engine_;
 };
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -286,6 +286,16 @@
   return names;
 }
 
+std::vector<std::string> NodeDistribution::Core::RemoteMembers() const {
+  std::vector<std::string> names;
+  for (const auto& [name, entry] : membership_->table().entries()) {
+    const Member& member = entry.member;
+    if (member.data_centre() == identity_.data_centre || !TakesPart(member)) continue;
+    if (!member.control()) names.push_back(name);
+  }
+  return names;
+}
+
 std::vector<std::string> NodeDistribution::Core::RankedControls() const {
   std::vector<std::string> names;
   for (const auto& [name, entry] : membership_->table().entries()) {
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -59,6 +59,7 @@
   void RefreshSources();
   void RefreshStatus();
   std::vector<std::string> LocalMembers(bool with_self, bool with_leaving) const;
+  std::vector<std::string> RemoteMembers() const;
   std::vector<std::string> RankedControls() const;
 
   Subscribe MakeSubscribe() const;
--- a/src/libquetzal/distribution/node_distribution_core_source.cc
+++ b/src/libquetzal/distribution/node_distribution_core_source.cc
@@ -214,21 +214,14 @@
   const SteadyTime now = dependencies_.clock->Now();
   if (now < next_poll_ || configuration_.configuration().configuration == nullptr) return;
   next_poll_ = now + kRepairPeriod;
-  std::vector<std::string> local;
-  std::vector<std::string> remote;
-  for (const auto& [name, entry] : membership_->table().entries()) {
-    const Member& member = entry.member;
-    if (name == identity_.instance || member.control() || !TakesPart(member)) continue;
-    (member.data_centre() == identity_.data_centre ? local : remote).push_back(name);
-  }
   const auto poll = [this](std::vector<std::string> peers, std::size_t count) {
-    for (std::size_t n = 0; n < std::min(count, peers.size()); ++n) {
-      std::swap(peers[n], peers[n + dependencies_.random->Below(peers.size() - n)]);
-      Fetch(peers[n]);
+    for (const std::string& peer :
+         dependencies_.random->PickSome(std::move(peers), count)) {
+      Fetch(peer);
     }
   };
-  poll(std::move(local), kPolledLocalPeers);
-  poll(std::move(remote), kPolledRemotePeers);
+  poll(LocalMembers(false, true), kPolledLocalPeers);
+  poll(RemoteMembers(), kPolledRemotePeers);
 }
 
 void NodeDistribution::Core::TickRepair() {
--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -317,15 +317,6 @@
   return selected;
 }
 
-Membership::Entries Membership::PickSome(Entries from, std::size_t count) {
-  count = std::min(count, from.size());
-  for (std::size_t n = 0; n < count; ++n) {
-    std::swap(from[n], from[n + random_->Below(from.size() - n)]);
-  }
-  from.resize(count);
-  return from;
-}
-
 void Membership::Send(const Endpoint& to, bool local, GossipDatagram* datagram) {
   datagram->set_sender(self_.instance());
   datagram->set_incarnation(self_.incarnation());
--- a/src/libquetzal/membership/membership.h
+++ b/src/libquetzal/membership/membership.h
@@ -157,7 +157,6 @@
   void StartExchange(const Endpoint& stream_address);
   bool IsLocal(const Member& member) const;
   Entries Select(bool local, bool remote, const std::string& except) const;
-  Entries PickSome(Entries from, std::size_t count);
 
   MembershipSettings settings_;
   Member self_;
--- a/src/libquetzal/membership/membership_probes.cc
+++ b/src/libquetzal/membership/membership_probes.cc
@@ -96,7 +96,7 @@
       if (entry != nullptr && TakesPart(entry->member)) return entry;
     }
     const Entries local = Select(true, false, "");
-    for (const MemberTable::Entry* entry : PickSome(local, local.size())) {
+    for (const MemberTable::Entry* entry : random_->PickSome(local, local.size())) {
       probe_order_.push_back(entry->member.instance());
     }
   }
@@ -128,7 +128,7 @@
   const MemberTable::Entry* target = table_.Find(probe->target);
   if (target == nullptr) return;
   const Entries helpers =
-      PickSome(Select(true, false, probe->target), settings_.indirect_probes);
+      random_->PickSome(Select(true, false, probe->target), settings_.indirect_probes);
   for (const MemberTable::Entry* helper : helpers) {
     GossipDatagram request;
     request.set_kind(GOSSIP_PING_REQUEST);
@@ -155,7 +155,8 @@
     for (const MemberTable::Entry* entry : Select(false, true, "")) {
       if (entry->member.data_centre() == data_centre) others.push_back(entry);
     }
-    for (const MemberTable::Entry* entry : PickSome(others, kReachabilityChecks)) {
+    for (const MemberTable::Entry* entry :
+         random_->PickSome(others, kReachabilityChecks)) {
       SendProbe(*entry, true, now);
     }
     return;
@@ -187,9 +188,10 @@
   next_gossip_ = now + settings_.gossip_period;
   if (queue_.empty()) return;
   // One target per round may be in another data centre; the others are local.
-  Entries targets = PickSome(Select(true, false, ""), settings_.gossip_fanout - 1);
+  Entries targets =
+      random_->PickSome(Select(true, false, ""), settings_.gossip_fanout - 1);
   if (targets.empty()) queue_.DropReachReports();
-  const Entries anywhere = PickSome(Select(true, true, ""), 1);
+  const Entries anywhere = random_->PickSome(Select(true, true, ""), 1);
   targets.insert(targets.end(), anywhere.begin(), anywhere.end());
   for (const MemberTable::Entry* target : targets) {
     if (queue_.empty()) return;
