Agreement: one name for "no leader since the start"

NoLeaderSinceStart() stood beside the flag had_leader_ that it negated, and only one of four places used it; all read the flag now.

--- a/src/libquetzal/agreement/raft_core.cc
+++ b/src/libquetzal/agreement/raft_core.cc
@@ -105,9 +105,8 @@
 /// no further handling.
 bool RaftCore::CheckTerm(const AgreementMessage& message) {
   const bool vote = message.has_vote();
-  const bool no_lease =
-      vote && (message.vote().handover() ||
-               (message.vote().group_restarted() && NoLeaderSinceStart()));
+  const bool no_lease = vote && (message.vote().handover() ||
+                                 (message.vote().group_restarted() && !had_leader_));
   if (vote && !no_lease && HeardFromLeaderRecently()) {
     if (message.vote().pre_vote() || message.term() <= term()) {
       AgreementMessage refusal = MakeMessage(message.from());
--- a/src/libquetzal/agreement/raft_core.h
+++ b/src/libquetzal/agreement/raft_core.h
@@ -119,7 +119,6 @@
   };
 
   // The first election after a restart of the whole group (raft_core_restart.cc).
-  bool NoLeaderSinceStart() const;
   bool EveryReplicaGranted() const;
   int RankInGroup() const;
   void TickRestart();
--- a/src/libquetzal/agreement/raft_core_restart.cc
+++ b/src/libquetzal/agreement/raft_core_restart.cc
@@ -20,8 +20,6 @@
 
 }  // namespace
 
-bool RaftCore::NoLeaderSinceStart() const { return !had_leader_; }
-
 bool RaftCore::EveryReplicaGranted() const {
   const auto& replicas = log_.replicas().replicas();
   return std::all_of(replicas.begin(), replicas.end(), [this](const Replica& it) {
