Node: what a backend server tells is logged where it matters

Change: server.leave and server.heartbeat (first of an incarnation, leaving, or too late to count) are events; heartbeats that repeat what is known are not.

--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -65,8 +65,8 @@
 }  // namespace
 
 BackendServerMonitor::BackendServerMonitor(Duration timeout, const Clock* clock,
-                                           Observer observer)
-    : timeout_(timeout), clock_(clock), observer_(std::move(observer)) {}
+                                           EventLog* events, Observer observer)
+    : timeout_(timeout), clock_(clock), events_(events), observer_(std::move(observer)) {}
 
 void BackendServerMonitor::Announce(const std::string& json) {
   LocalBackendServer server = ParseAnnouncement(json);
@@ -81,9 +81,19 @@
   if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
   const bool same_incarnation =
       heartbeat.id == heartbeat_.id && heartbeat.start_time == heartbeat_.start_time;
-  if (heartbeat.start_time < heartbeat_.start_time) return;
-  if (same_incarnation && heartbeat.sequence <= heartbeat_.sequence) return;
+  if (heartbeat.start_time < heartbeat_.start_time) {
+    return EmitHeartbeat(heartbeat, "former_incarnation");
+  }
+  if (same_incarnation && heartbeat.sequence <= heartbeat_.sequence) {
+    return EmitHeartbeat(heartbeat, "late");
+  }
   const bool was_leaving = same_incarnation && heartbeat_.leaving;
+  // The others repeat what is known: they are not logged.
+  if (!same_incarnation) {
+    EmitHeartbeat(heartbeat, "new_incarnation");
+  } else if (heartbeat.leaving != was_leaving) {
+    EmitHeartbeat(heartbeat, was_leaving ? "still_leaving" : "leaving");
+  }
   heartbeat_ = heartbeat;
   heartbeat_.leaving = heartbeat.leaving || was_leaving;
   last_contact_at_ = clock_->Now();
@@ -99,7 +109,9 @@
 void BackendServerMonitor::RecordLeave(const std::string& id) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
-  if (id != heartbeat_.id || server_.state == SERVER_NONE) return;
+  const bool known = id == heartbeat_.id && server_.state != SERVER_NONE;
+  events_->Emit({"server.leave", {{"server", id}, {"known", known ? "true" : "false"}}});
+  if (!known) return;
   heartbeat_.leaving = true;
   LocalBackendServer server = server_;
   server.state = SERVER_LEAVING;
@@ -148,6 +160,16 @@
   observer_(server_);
 }
 
+void BackendServerMonitor::EmitHeartbeat(const ServerHeartbeat& heartbeat,
+                                         const char* outcome) {
+  events_->Emit({"server.heartbeat",
+                 {{"server", heartbeat.id},
+                  {"started_ms", std::to_string(heartbeat.start_time.count())},
+                  {"sequence", std::to_string(heartbeat.sequence)},
+                  {"leaving", heartbeat.leaving ? "true" : "false"},
+                  {"outcome", outcome}}});
+}
+
 std::string ServerStateName(ServerState state) {
   switch (state) {
     case SERVER_STARTING:
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "base/event_log.h"
 #include "calls/call_path.h"
 
 namespace quetzal {
@@ -31,7 +32,8 @@
  public:
   using Observer = std::function<void(const LocalBackendServer& server)>;
 
-  BackendServerMonitor(Duration timeout, const Clock* clock, Observer observer);
+  BackendServerMonitor(Duration timeout, const Clock* clock, EventLog* events,
+                       Observer observer);
 
   /// Records an announcement: a JSON object with service, address, slots and connections.
   /// Throws Error(kRequestMalformed), or Error(kNodeStopping) after Stop().
@@ -64,9 +66,11 @@
 
  private:
   void SetServerLocked(LocalBackendServer server);
+  void EmitHeartbeat(const ServerHeartbeat& heartbeat, const char* outcome);
 
   const Duration timeout_;
   const Clock* clock_;
+  EventLog* events_;
   Observer observer_;
   mutable std::mutex mutex_;
   LocalBackendServer server_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -206,7 +206,7 @@
                  });
 
   backend_monitor_ = std::make_unique<BackendServerMonitor>(
-      AnnouncementTimeout(settings), clock_,
+      AnnouncementTimeout(settings), clock_, events_,
       [this](const LocalBackendServer& server) { SetBackendServer(server); });
   distribution_->Start();
   poll_timer_ = node_executor_->Every(kPollPeriod, [this] { Poll(); });
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -26,9 +26,10 @@
   }
 
   ManualClock clock_;
+  NullEventLog events_;
   std::vector<ServerState> states_;
   BackendServerMonitor monitor_{
-      kTimeout, &clock_,
+      kTimeout, &clock_, &events_,
       [this](const LocalBackendServer& server) { states_.push_back(server.state); }};
 };
 
--- a/tests/platform/interfaces_test.cc
+++ b/tests/platform/interfaces_test.cc
@@ -111,7 +111,8 @@
   }
 
   ManualClock clock_;
-  BackendServerMonitor monitor_{std::chrono::seconds(6), &clock_,
+  NullEventLog events_;
+  BackendServerMonitor monitor_{std::chrono::seconds(6), &clock_, &events_,
                                 [](const LocalBackendServer&) {}};
   bool ready_ = false;
   std::unique_ptr<ServerInterface> interface_ =
