--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -106,6 +106,13 @@
   EXPECT_EQ(state(), SERVER_LEAVING);
 }
 
+// Guards against requests to a server whose leave came before its node knew it.
+TEST_F(HeartbeatOrderTest, ALeaveBeforeTheFirstHeartbeatHolds) {
+  monitor_.RecordLeave("i-1");
+  SendHeartbeat("i-1", 100, 19);
+  EXPECT_EQ(state(), SERVER_LEAVING);
+}
+
 TEST_F(HeartbeatOrderTest, AnUnreachableServerIsDownUntilTheNextHeartbeat) {
   SendHeartbeat("i-2", 200, 1);
   monitor_.MarkUnreachable();
--- a/tests/platform/interfaces_test.cc
+++ b/tests/platform/interfaces_test.cc
@@ -128,6 +128,13 @@
   EXPECT_EQ(monitor_.server().state, SERVER_LEAVING);
 }
 
+// Guards against an acknowledged leave that a late heartbeat takes back.
+TEST_F(ServerInterfaceTest, AnAcknowledgedLeaveHoldsWithoutAnEarlierHeartbeat) {
+  EXPECT_EQ(Ask("/api/instances/i-1/leave", ""), 200);
+  EXPECT_EQ(SendHeartbeat("ready", 19), 200);
+  EXPECT_EQ(monitor_.server().state, SERVER_LEAVING);
+}
+
 TEST_F(ServerInterfaceTest, InvalidRequestsChangeNothing) {
   EXPECT_EQ(SendHeartbeat("odd", 1), 400);
   EXPECT_EQ(SendHeartbeat("ready", 1, "another"), 400);
