Node: a leave holds before the first heartbeat of its server

Cause: an acknowledgement without effect. A node that had just started knew no server, so RecordLeave found another id, dropped the leave and answered 200; a heartbeat of the same incarnation that came late made the server SERVER_UP. The same holds for a heartbeat that says 'draining' and is overtaken by another one. Change: BackendServerMonitor keeps the incarnations that leave (DepartedServers), by id and latest start, whether it knows them or not; every heartbeat is judged by that. An unknown id covers incarnations that started before the leave arrived. Conclusion: fixed for one run of a node. A leave that an earlier process of the node acknowledged is still forgotten at its restart.

--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -79,29 +79,32 @@
 void BackendServerMonitor::RecordHeartbeat(const ServerHeartbeat& heartbeat) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
-  const bool same_incarnation =
-      heartbeat.id == heartbeat_.id && heartbeat.start_time == heartbeat_.start_time;
+  const bool departed = departed_.Contains(heartbeat.id, heartbeat.start_time);
+  if (heartbeat.leaving) departed_.Add(heartbeat.id, heartbeat.start_time);
   if (heartbeat.start_time < heartbeat_.start_time) {
     return EmitHeartbeat(heartbeat, "former_incarnation");
   }
+  const bool same_incarnation =
+      heartbeat.id == heartbeat_.id && heartbeat.start_time == heartbeat_.start_time;
   if (same_incarnation && heartbeat.sequence <= heartbeat_.sequence) {
-    return EmitHeartbeat(heartbeat, "late");
+    EmitHeartbeat(heartbeat, "late");
+    return ApplyDepartureLocked();
   }
-  const bool was_leaving = same_incarnation && heartbeat_.leaving;
   // The others repeat what is known: they are not logged.
-  if (!same_incarnation) {
+  if (departed && !heartbeat.leaving) {
+    EmitHeartbeat(heartbeat, "departed");
+  } else if (!same_incarnation) {
     EmitHeartbeat(heartbeat, "new_incarnation");
-  } else if (heartbeat.leaving != was_leaving) {
-    EmitHeartbeat(heartbeat, was_leaving ? "still_leaving" : "leaving");
+  } else if (heartbeat.leaving && !departed) {
+    EmitHeartbeat(heartbeat, "leaving");
   }
   heartbeat_ = heartbeat;
-  heartbeat_.leaving = heartbeat.leaving || was_leaving;
   last_contact_at_ = clock_->Now();
   LocalBackendServer server;
   server.service = heartbeat.service;
   server.address = heartbeat.address;
   server.slots = heartbeat.slots;
-  server.state = heartbeat_.leaving ? SERVER_LEAVING : SERVER_UP;
+  server.state = departed || heartbeat.leaving ? SERVER_LEAVING : SERVER_UP;
   server.id = heartbeat.id;
   SetServerLocked(std::move(server));
 }
@@ -111,8 +114,16 @@
   if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
   const bool known = id == heartbeat_.id && server_.state != SERVER_NONE;
   events_->Emit({"server.leave", {{"server", id}, {"known", known ? "true" : "false"}}});
-  if (!known) return;
-  heartbeat_.leaving = true;
+  // A node that has just started may hear of the leave before any heartbeat. A later
+  // incarnation with this id starts after now.
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock_->WallNow().time_since_epoch());
+  departed_.Add(id, known ? heartbeat_.start_time : now);
+  ApplyDepartureLocked();
+}
+
+void BackendServerMonitor::ApplyDepartureLocked() {
+  if (!departed_.Contains(heartbeat_.id, heartbeat_.start_time)) return;
   LocalBackendServer server = server_;
   server.state = SERVER_LEAVING;
   SetServerLocked(std::move(server));
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "calls/call_path.h"
+#include "node/departed_servers.h"
 
 namespace quetzal {
 
@@ -40,11 +41,12 @@
   void Announce(const std::string& json);
 
   /// Records a heartbeat. Ignores one that is older than the latest recorded one; an
-  /// incarnation that is leaving stays so. Throws Error(kNodeStopping) after Stop().
+  /// incarnation that is leaving stays so, whatever the order of arrival. Throws
+  /// Error(kNodeStopping) after Stop().
   void RecordHeartbeat(const ServerHeartbeat& heartbeat);
 
-  /// Marks the server as leaving if its incarnation is `id`; does nothing otherwise.
-  /// Throws Error(kNodeStopping) after Stop().
+  /// Records that the server process `id` leaves, also before its first heartbeat. Throws
+  /// Error(kNodeStopping) after Stop().
   void RecordLeave(const std::string& id);
 
   /// Marks the server as leaving, so that it gets no new requests.
@@ -66,6 +68,8 @@
 
  private:
   void SetServerLocked(LocalBackendServer server);
+  /// Marks the server as leaving if its incarnation is among departed_.
+  void ApplyDepartureLocked();
   void EmitHeartbeat(const ServerHeartbeat& heartbeat, const char* outcome);
 
   const Duration timeout_;
@@ -76,6 +80,7 @@
   LocalBackendServer server_;
   SteadyTime last_contact_at_;
   ServerHeartbeat heartbeat_;  ///< The latest; its id is empty before the first one.
+  DepartedServers departed_;
   bool stopped_ = false;
 };
 
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -10,6 +10,8 @@
 namespace quetzal {
 namespace {
 
+using std::chrono_literals::operator""ms;
+
 constexpr std::chrono::seconds kTimeout{3};
 constexpr char kAnnouncement[] =
     R"({"service":"bodega-desk","address":"127.0.0.1:9001","slots":20,"connections":130})";
@@ -62,14 +64,14 @@
 
 class HeartbeatOrderTest : public BackendServerMonitorTest {
  protected:
-  void SendHeartbeat(const std::string& id, int start_time, std::uint64_t sequence,
-                     bool leaving = false) {
+  void SendHeartbeat(const std::string& id, std::chrono::milliseconds start_time,
+                     std::uint64_t sequence, bool leaving = false) {
     ServerHeartbeat heartbeat;
     heartbeat.id = id;
     heartbeat.service = "bodega-desk";
     heartbeat.address = {"127.0.0.1", 9001};
     heartbeat.slots = 20;
-    heartbeat.start_time = std::chrono::milliseconds(start_time);
+    heartbeat.start_time = start_time;
     heartbeat.sequence = sequence;
     heartbeat.leaving = leaving;
     monitor_.RecordHeartbeat(heartbeat);
@@ -78,28 +80,28 @@
 };
 
 TEST_F(HeartbeatOrderTest, ALateHeartbeatOfAFormerIncarnationChangesNothing) {
-  SendHeartbeat("i-2", 200, 1);
-  SendHeartbeat("i-1", 100, 9, true);
+  SendHeartbeat("i-2", 200ms, 1);
+  SendHeartbeat("i-1", 100ms, 9, true);
   EXPECT_EQ(monitor_.server().id, "i-2");
   EXPECT_EQ(state(), SERVER_UP);
 }
 
 TEST_F(HeartbeatOrderTest, ReorderedHeartbeatsOfALeavingIncarnation) {
-  SendHeartbeat("i-1", 100, 5, true);
-  SendHeartbeat("i-1", 100, 4);
+  SendHeartbeat("i-1", 100ms, 5, true);
+  SendHeartbeat("i-1", 100ms, 4);
   EXPECT_EQ(state(), SERVER_LEAVING);
-  SendHeartbeat("i-1", 100, 6);
+  SendHeartbeat("i-1", 100ms, 6);
   EXPECT_EQ(state(), SERVER_LEAVING) << "a leaving incarnation stays leaving";
 }
 
 TEST_F(HeartbeatOrderTest, ALaterStartWithTheSameIdIsANewIncarnation) {
-  SendHeartbeat("i-1", 100, 50, true);
-  SendHeartbeat("i-1", 300, 1);
+  SendHeartbeat("i-1", 100ms, 50, true);
+  SendHeartbeat("i-1", 300ms, 1);
   EXPECT_EQ(state(), SERVER_UP);
 }
 
 TEST_F(HeartbeatOrderTest, LeavesOfOtherIncarnationsAreIgnored) {
-  SendHeartbeat("i-2", 200, 1);
+  SendHeartbeat("i-2", 200ms, 1);
   monitor_.RecordLeave("i-1");
   EXPECT_EQ(state(), SERVER_UP);
   monitor_.RecordLeave("i-2");
@@ -109,15 +111,33 @@
 // Guards against requests to a server whose leave came before its node knew it.
 TEST_F(HeartbeatOrderTest, ALeaveBeforeTheFirstHeartbeatHolds) {
   monitor_.RecordLeave("i-1");
-  SendHeartbeat("i-1", 100, 19);
+  SendHeartbeat("i-1", 100ms, 19);
+  EXPECT_EQ(state(), SERVER_LEAVING);
+}
+
+// Guards against a server that stays out of use for good after its predecessor left.
+TEST_F(HeartbeatOrderTest, ALaterStartWithTheIdOfADepartedServerIsUsed) {
+  monitor_.RecordLeave("i-1");
+  clock_.Advance(std::chrono::seconds(5));
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock_.WallNow().time_since_epoch());
+  SendHeartbeat("i-1", now, 1);
+  EXPECT_EQ(state(), SERVER_UP);
+}
+
+// Guards against a server in use that has said that it leaves, in a heartbeat that was
+// overtaken.
+TEST_F(HeartbeatOrderTest, AnOvertakenHeartbeatThatLeavesCounts) {
+  SendHeartbeat("i-1", 100ms, 6);
+  SendHeartbeat("i-1", 100ms, 5, true);
   EXPECT_EQ(state(), SERVER_LEAVING);
 }
 
 TEST_F(HeartbeatOrderTest, AnUnreachableServerIsDownUntilTheNextHeartbeat) {
-  SendHeartbeat("i-2", 200, 1);
+  SendHeartbeat("i-2", 200ms, 1);
   monitor_.MarkUnreachable();
   EXPECT_EQ(state(), SERVER_DOWN);
-  SendHeartbeat("i-2", 200, 2);
+  SendHeartbeat("i-2", 200ms, 2);
   EXPECT_EQ(state(), SERVER_UP);
 }
 
