Membership: a restarted node learns which backend server has left

A node holds the leave of its server in memory only; after a restart a late heartbeat makes the server SERVER_UP again. Change: a node's record carries the last departure (id and latest start); members keep it when a later incarnation of the node publishes none, and tell it in the answer to the joining node's exchange of tables. Evidence: JoinTest.ARestartedNodeLearnsWhichServerHasLeft fails without the field in the answer (0 departures, expected 1) and passes, over two restarts in a row; HeartbeatOrderTest.ADepartureThatAnEarlierRunAcknowledgedHolds. Left open: when all members restart at once nobody can tell.

--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -72,6 +72,10 @@
     const Clock* clock = nullptr;
     Random* random = nullptr;  ///< Used on the executor only.
     EventLog* events = nullptr;
+
+    /// Called on the executor with a departure that an earlier incarnation of this node
+    /// published; may be null.
+    std::function<void(const ServerDeparture&)> on_former_departure;
   };
 
   /// State of a node as it sees itself.
--- a/src/libquetzal/membership/member_table.cc
+++ b/src/libquetzal/membership/member_table.cc
@@ -37,7 +37,7 @@
   auto it = entries_.find(update.instance());
   if (it == entries_.end()) {
     if (IsThirdPartyReport(update)) return false;
-    Entry entry{update, update.state(), now};
+    Entry entry{update, update.state(), now, update.server().departure()};
     buckets_[BucketOf(update.instance())] ^= HashOf(entry);
     entries_.emplace(update.instance(), std::move(entry));
     return true;
@@ -57,6 +57,8 @@
     entry.member.set_state(update.state());
   } else {
     entry.member = update;
+    // An instance that has just started publishes none until it learns it from others.
+    if (update.server().has_departure()) entry.departure = update.server().departure();
   }
   if (update.state() != MEMBER_SUSPECT) entry.own_state = update.state();
   if (update.state() == MEMBER_SUSPECT && !same_record) entry.own_state = MEMBER_ALIVE;
--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -116,7 +116,11 @@
   answer.set_sender(self_.instance());
   *answer.mutable_known() = LaterOf(known_, applied_version_);
   const MemberTable::Entry* requester = table_.Find(received.sender());
-  if (requester != nullptr) answer.set_heard_incarnation(requester->member.incarnation());
+  if (requester != nullptr) {
+    answer.set_heard_incarnation(requester->member.incarnation());
+    const ServerDeparture& departure = requester->departure;
+    if (!departure.id().empty()) *answer.mutable_departure() = departure;
+  }
   known_ = LaterOf(known_, received.known());
   const bool disseminate =
       static_cast<std::size_t>(received.members_size()) <= kMaxGossipAfterExchange;
@@ -142,6 +146,7 @@
   TableExchange answer;
   if (!answer.ParseFromString(reply)) return;
   known_ = LaterOf(known_, answer.known());
+  if (answer.has_departure()) former_departure_ = answer.departure();
   // The peer knows a higher incarnation of this name: Refute() exceeds it, or sets
   // identity_taken_over_.
   if (answer.heard_incarnation() > self_.incarnation()) {
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -59,7 +59,9 @@
 
 bool Same(const LocalBackendServer& a, const LocalBackendServer& b) {
   return a.service == b.service && a.address == b.address && a.slots == b.slots &&
-         a.connections == b.connections && a.state == b.state && a.id == b.id;
+         a.connections == b.connections && a.state == b.state && a.id == b.id &&
+         a.departure.id == b.departure.id &&
+         a.departure.last_start == b.departure.last_start;
 }
 
 }  // namespace
@@ -80,7 +82,7 @@
   std::lock_guard<std::mutex> lock(mutex_);
   if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
   const bool departed = departed_.Contains(heartbeat.id, heartbeat.start_time);
-  if (heartbeat.leaving) departed_.Add(heartbeat.id, heartbeat.start_time);
+  if (heartbeat.leaving) departed_.Add({heartbeat.id, heartbeat.start_time});
   if (heartbeat.start_time < heartbeat_.start_time) {
     return EmitHeartbeat(heartbeat, "former_incarnation");
   }
@@ -118,14 +120,24 @@
   // incarnation with this id starts after now.
   const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
       clock_->WallNow().time_since_epoch());
-  departed_.Add(id, known ? heartbeat_.start_time : now);
+  departed_.Add({id, known ? heartbeat_.start_time : now});
+  ApplyDepartureLocked();
+}
+
+void BackendServerMonitor::RecordFormerDeparture(const BackendDeparture& departure) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  events_->Emit({"server.departed",
+                 {{"server", departure.id},
+                  {"last_start_ms", std::to_string(departure.last_start.count())}}});
+  departed_.Add(departure);
   ApplyDepartureLocked();
 }
 
 void BackendServerMonitor::ApplyDepartureLocked() {
-  if (!departed_.Contains(heartbeat_.id, heartbeat_.start_time)) return;
   LocalBackendServer server = server_;
-  server.state = SERVER_LEAVING;
+  if (departed_.Contains(heartbeat_.id, heartbeat_.start_time)) {
+    server.state = SERVER_LEAVING;
+  }
   SetServerLocked(std::move(server));
 }
 
@@ -166,6 +178,7 @@
 }
 
 void BackendServerMonitor::SetServerLocked(LocalBackendServer server) {
+  server.departure = departed_.latest();
   if (Same(server, server_)) return;
   server_ = std::move(server);
   observer_(server_);
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -49,6 +49,9 @@
   /// Error(kNodeStopping) after Stop().
   void RecordLeave(const std::string& id);
 
+  /// Records a departure that an earlier run of this node acknowledged.
+  void RecordFormerDeparture(const BackendDeparture& departure);
+
   /// Marks the server as leaving, so that it gets no new requests.
   void MarkLeaving();
 
--- a/src/libquetzal/node/departed_servers.h
+++ b/src/libquetzal/node/departed_servers.h
@@ -5,25 +5,23 @@
 #include <deque>
 #include <string>
 
+#include "calls/call_path.h"
+
 namespace quetzal {
 
 /// Incarnations of backend servers that are leaving or have left, also those that no
 /// heartbeat has named yet. Bounded; the oldest entries are dropped. Not thread-safe.
 class DepartedServers {
  public:
-  /// Records that the incarnations of `id` that started at `last_start` (wall time since
-  /// 1970) or earlier leave.
-  void Add(const std::string& id, std::chrono::milliseconds last_start);
+  void Add(const BackendDeparture& departure);
 
   bool Contains(const std::string& id, std::chrono::milliseconds start_time) const;
 
- private:
-  struct Departure {
-    std::string id;
-    std::chrono::milliseconds last_start{};
-  };
+  /// The one recorded last; without an id if there is none.
+  BackendDeparture latest() const;
 
-  std::deque<Departure> departures_;  ///< The newest is last.
+ private:
+  std::deque<BackendDeparture> departures_;  ///< The newest is last.
 };
 
 }  // namespace quetzal
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -156,6 +156,11 @@
   distribution_dependencies.clock = clock_;
   distribution_dependencies.random = &distribution_random_;
   distribution_dependencies.events = events_;
+  distribution_dependencies.on_former_departure =
+      [this](const ServerDeparture& departure) {
+        backend_monitor_->RecordFormerDeparture(
+            {departure.id(), std::chrono::milliseconds(departure.last_start_ms())});
+      };
   distribution_ = std::make_unique<NodeDistribution>(
       NodeIdentity{instance_, data_centre_, incarnation_, settings.Address("gossip"),
                    stream_address_, caller_address_},
@@ -255,6 +260,10 @@
   announced.set_slots(server.slots);
   announced.set_connections(server.connections);
   announced.set_state(server.state);
+  if (!server.departure.id.empty()) {
+    announced.mutable_departure()->set_id(server.departure.id);
+    announced.mutable_departure()->set_last_start_ms(server.departure.last_start.count());
+  }
   distribution_->SetBackendServer(announced);
 }
 
--- a/tests/distribution/join_test.cc
+++ b/tests/distribution/join_test.cc
@@ -43,6 +43,28 @@
   EXPECT_EQ(restarted_->distribution->routing().snapshot()->targets.size(), 4u);
 }
 
+// Guards against a backend server that is used again after its node has restarted.
+TEST_F(JoinTest, ARestartedNodeLearnsWhichServerHasLeft) {
+  fleet_.StartNode(restarted_);
+  fleet_.world.Run(seconds(2));
+  BackendServer server;
+  server.set_service("desk");
+  server.set_state(SERVER_LEAVING);
+  server.mutable_departure()->set_id("i-1");
+  server.mutable_departure()->set_last_start_ms(100);
+  restarted_->distribution->SetBackendServer(server);
+  fleet_.world.Run(seconds(2));
+  for (int restart = 0; restart < 2; ++restart) {
+    fleet_.Crash(restarted_);
+    restarted_->former_departures.clear();
+    fleet_.StartNode(restarted_);
+    while (!Joined()) fleet_.world.Run(milliseconds(10));
+    ASSERT_EQ(restarted_->former_departures.size(), 1u);
+    EXPECT_EQ(restarted_->former_departures[0].id(), "i-1");
+    EXPECT_EQ(restarted_->former_departures[0].last_start_ms(), 100);
+  }
+}
+
 TEST_F(JoinTest, WithoutPeersItWaitsOnlyForTheLimit) {
   CutFromNodes();
   fleet_.StartNode(restarted_);
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -125,6 +125,16 @@
   EXPECT_EQ(state(), SERVER_UP);
 }
 
+// Guards against a server that is used again after the restart of its node.
+TEST_F(HeartbeatOrderTest, ADepartureThatAnEarlierRunAcknowledgedHolds) {
+  monitor_.RecordFormerDeparture({"i-1", 100ms});
+  EXPECT_EQ(monitor_.server().departure.id, "i-1") << "known to the next run, too";
+  SendHeartbeat("i-1", 100ms, 19);
+  EXPECT_EQ(state(), SERVER_LEAVING);
+  SendHeartbeat("i-2", 200ms, 1);
+  EXPECT_EQ(state(), SERVER_UP);
+}
+
 // Guards against a server in use that has said that it leaves, in a heartbeat that was
 // overtaken.
 TEST_F(HeartbeatOrderTest, AnOvertakenHeartbeatThatLeavesCounts) {
--- a/tests/simulation/sim_fleet.h
+++ b/tests/simulation/sim_fleet.h
@@ -33,6 +33,7 @@
     std::string service;
     bool announces_up = false;   ///< Its backend server is announced as SERVER_UP.
     bool left_for_good = false;  ///< It left and is not started again.
+    std::vector<ServerDeparture> former_departures;  ///< Learned from other members.
   };
   struct Control {
     Host* host = nullptr;
@@ -111,6 +112,9 @@
     dependencies.clock = &world.clock;
     dependencies.random = &parts->random;
     dependencies.events = &parts->events;
+    dependencies.on_former_departure = [node](const ServerDeparture& departure) {
+      node->former_departures.push_back(departure);
+    };
     node->distribution =
         std::make_unique<NodeDistribution>(identity, settings, dependencies);
     parts->events.on_event = [this, node](const Event& event) {
