Calls: an answer that says that its server leaves takes the server out

The node passed the field on and went on sending requests until a heartbeat or a leave arrived, which may be seconds later, or never, while it restarts. Change: dialects read the notice (AnswerMetadata::leaving), the admitting node records the departure of that incarnation. Every request to the server passes its node, and the departure is part of the node's record, so that it also holds for other nodes and after a restart.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -192,8 +192,10 @@
         });
   }
   const bool complete = body_ended_ && body_.empty();
+  const LocalBackendServer server = context_->backend_server();
+  server_id_ = server.id;
   backend_ = context_->deps.backends->Open(
-      context_->backend_server().address, head_.path, BackendHeaders(), complete,
+      server.address, head_.path, BackendHeaders(), complete,
       std::make_shared<BackendHandler>(shared_from_this()));
   for (std::size_t n = 0; n < body_.size(); ++n) {
     backend_->SendData(std::move(body_[n]), body_ended_ && n + 1 == body_.size());
@@ -216,7 +218,7 @@
   headers.insert(headers.end(), fields_.begin(), fields_.end());
   ServerMetadata metadata;
   metadata.remaining = deadline_ - sent_at_;
-  metadata.server_id = context_->backend_server().id;
+  metadata.server_id = server_id_;
   metadata.caller_service = head_.caller_service;
   metadata.hops = head_.hops;
   metadata.via = head_.via;
@@ -271,7 +273,8 @@
 }
 
 void BackendCall::OnAnswerHeaders(const StreamHeaders& headers) {
-  if (phase_ != Phase::kSent || HandleNonAnswer(headers)) return;
+  if (phase_ != Phase::kSent) return;
+  if (HandleNonAnswer(context_->dialect().ReadAnswer(headers))) return;
   phase_ = Phase::kAnswering;
   const std::string status(HeaderValue(headers, ":status"));
   if (!AnswerHasNoBody(head_.method, status)) {
@@ -292,10 +295,10 @@
   if (!peer_disconnected_) peer_->SendHeaders(std::move(answer), false);
 }
 
-bool BackendCall::HandleNonAnswer(const StreamHeaders& headers) {
-  const AnswerMetadata metadata = context_->dialect().ReadAnswer(headers);
+bool BackendCall::HandleNonAnswer(const AnswerMetadata& metadata) {
   const bool foreign = metadata.unverified || (!metadata.request_id.empty() &&
                                                metadata.request_id != request_id_);
+  if (!foreign && !metadata.stale) ApplyServerNotices(metadata);
   if (!metadata.not_run && !foreign) return false;
   reached_server_ = true;
   EndAttempt(metadata.not_run ? AttemptState::kNotRun : AttemptState::kUnknown);
@@ -312,6 +315,14 @@
   return true;
 }
 
+void BackendCall::ApplyServerNotices(const AnswerMetadata& metadata) {
+  const auto& on_leaving = context_->deps.on_backend_leaving;
+  // All answers of a leaving server say so; one notice is enough.
+  if (metadata.leaving && on_leaving && context_->backend_server().state == SERVER_UP) {
+    on_leaving(server_id_);
+  }
+}
+
 void BackendCall::OnAnswerData(std::string bytes) {
   if (phase_ != Phase::kAnswering) return;
   answer_received_ += bytes.size();
--- a/src/libquetzal/calls/backend_call.h
+++ b/src/libquetzal/calls/backend_call.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "calls/call_context.h"
+#include "calls/call_dialect.h"
 #include "calls/call_headers.h"
 #include "calls/serial_queue.h"
 #include "kernel/executor.h"
@@ -66,7 +67,8 @@
   void OnOutcomeTimeout();
   /// Handles a response that is not an answer to this request: a refusal by the server,
   /// or the answer to another request. False for an answer.
-  bool HandleNonAnswer(const StreamHeaders& headers);
+  bool HandleNonAnswer(const AnswerMetadata& metadata);
+  void ApplyServerNotices(const AnswerMetadata& metadata);
   void Refuse(ResultCode code, bool not_run, Duration retry_after);
   void EndAttempt(AttemptState state);
   void ReleaseSlot(bool answered);
@@ -88,6 +90,7 @@
   bool reached_server_ = false;
   std::uint64_t admission_id_ = 0;
   SteadyTime sent_at_;
+  std::string server_id_;  ///< Of the server process that the request was sent to.
 
   std::vector<std::string> body_;  ///< Received before a slot was free.
   bool body_ended_ = false;
--- a/src/libquetzal/calls/call_dialect.h
+++ b/src/libquetzal/calls/call_dialect.h
@@ -32,6 +32,7 @@
   bool not_run = false;     ///< The server did not run the request and never will.
   bool stale = false;       ///< A server process with another id has this address.
   bool unverified = false;  ///< Successful, without proof that the server made it.
+  bool leaving = false;     ///< The server leaves and takes no new requests.
 };
 
 /// Reads and writes the header fields that carry this metadata.
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -62,6 +62,10 @@
 
   /// Called when the local backend server refused a connection; may be null.
   std::function<void()> on_backend_unreachable;
+
+  /// Called with the id of the local backend server when an answer of it says that it
+  /// leaves; may be null.
+  std::function<void(const std::string& server_id)> on_backend_leaving;
 };
 
 /// A backend server that leaves or has left.
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -124,6 +124,15 @@
   ApplyDepartureLocked();
 }
 
+void BackendServerMonitor::RecordLeavingAnswer(const std::string& id) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  // The answer may be of a process that another one has replaced.
+  if (id != heartbeat_.id || departed_.Contains(id, heartbeat_.start_time)) return;
+  events_->Emit({"server.leave", {{"server", id}, {"known", "true"}, {"in", "answer"}}});
+  departed_.Add({id, heartbeat_.start_time});
+  ApplyDepartureLocked();
+}
+
 void BackendServerMonitor::RecordFormerDeparture(const BackendDeparture& departure) {
   std::lock_guard<std::mutex> lock(mutex_);
   events_->Emit({"server.departed",
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -49,6 +49,9 @@
   /// Error(kNodeStopping) after Stop().
   void RecordLeave(const std::string& id);
 
+  /// Records that an answer of the server process `id` says that it leaves.
+  void RecordLeavingAnswer(const std::string& id);
+
   /// Records a departure that an earlier run of this node acknowledged.
   void RecordFormerDeparture(const BackendDeparture& departure);
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -193,6 +193,10 @@
   calls.on_backend_unreachable = [this] {
     node_executor_->Post([this] { backend_monitor_->MarkUnreachable(); });
   };
+  calls.on_backend_leaving = [this](const std::string& server_id) {
+    node_executor_->Post(
+        [this, server_id] { backend_monitor_->RecordLeavingAnswer(server_id); });
+  };
   CallOptions options;
   options.instance = instance_;
   options.data_centre = data_centre_;
--- /dev/null
+++ b/tests/calls/server_notices_test.cc
@@ -0,0 +1,52 @@
+// What a backend server says of itself in its answers: that it leaves.
+#include <gtest/gtest.h>
+
+#include "calls/notice_dialect.h"
+#include "calls/sim_cluster.h"
+
+namespace quetzal {
+namespace {
+
+using std::chrono::milliseconds;
+
+class ServerNoticesTest : public ::testing::Test {
+ protected:
+  ServerNoticesTest() {
+    for (Route& route : *cluster_.configuration.mutable_routes()) {
+      route.set_keyless(true);
+    }
+    cluster_.Distribute();
+  }
+
+  NoticeDialect dialect_;
+  SimCluster cluster_{2, 20, &dialect_};
+};
+
+// Guards against requests to a server whose answers say that it leaves.
+TEST_F(ServerNoticesTest, AServerThatSaysThatItLeavesGetsNoFurtherRequests) {
+  FakeBackendServer& leaving = *cluster_.servers[0];
+  leaving.extra_headers = {{NoticeDialect::kLeavingField, "1"}};
+  while (leaving.total_runs() == 0) {
+    cluster_.GetReport(0);
+    cluster_.Run(milliseconds(20));
+  }
+  for (int n = 0; n < 40; ++n) {
+    const auto received = cluster_.GetReport(n % 2);
+    cluster_.Run(milliseconds(20));
+    EXPECT_TRUE(received->has_server_answer());
+  }
+  EXPECT_EQ(leaving.total_runs(), 1);
+}
+
+// Guards against answers whose notice is withheld from the caller.
+TEST_F(ServerNoticesTest, TheCallerGetsTheNotice) {
+  for (const auto& server : cluster_.servers) {
+    server->extra_headers = {{NoticeDialect::kLeavingField, "1"}};
+  }
+  const auto received = cluster_.GetReport(0);
+  cluster_.Run(milliseconds(20));
+  EXPECT_EQ(HeaderValue(received->headers, NoticeDialect::kLeavingField), "1");
+}
+
+}  // namespace
+}  // namespace quetzal
--- a/tests/calls/sim_cluster.cc
+++ b/tests/calls/sim_cluster.cc
@@ -164,9 +164,10 @@
   lines_->push_back(line);
 }
 
-SimCluster::SimCluster(int count, std::uint32_t slots)
+SimCluster::SimCluster(int count, std::uint32_t slots, const CallDialect* dialect)
     : states(count, SERVER_UP),
       slots_(slots),
+      dialect_(dialect),
       caller_transport_(&net, kCallerHost, std::make_shared<bool>(true)) {
   Service* service = configuration.add_services();
   service->set_name("desk");
@@ -226,6 +227,11 @@
   deps.clock = &loop.clock;
   deps.random = node->random.get();
   deps.events = node->events.get();
+  deps.dialect = dialect_;
+  // As the monitor of a node does.
+  deps.on_backend_leaving = [this, n](const std::string& /*server_id*/) {
+    SetState(n, SERVER_LEAVING);
+  };
   CallOptions options;
   options.instance = node->name;
   options.data_centre = node->data_centre;
@@ -238,7 +244,8 @@
 
 void SimCluster::SetState(std::size_t node, ServerState state) {
   states[node] = state;
-  nodes[node].path->SetBackendServer({"desk", nodes[node].backend, slots_, 130, state});
+  nodes[node].path->SetBackendServer(
+      {"desk", nodes[node].backend, slots_, 130, state, "i-" + nodes[node].name, {}});
 }
 
 void SimCluster::Distribute() {
--- a/tests/calls/sim_cluster.h
+++ b/tests/calls/sim_cluster.h
@@ -151,7 +151,8 @@
 /// service "desk". GET /reports is idempotent, POST /orders is not.
 class SimCluster {
  public:
-  explicit SimCluster(int nodes, std::uint32_t slots = 20);
+  explicit SimCluster(int nodes, std::uint32_t slots = 20,
+                      const CallDialect* dialect = nullptr);
   ~SimCluster();
 
   std::shared_ptr<AnswerRecorder> Send(std::size_t node, const std::string& method,
@@ -197,6 +198,7 @@
   void Start(SimNode* node);
 
   std::uint32_t slots_;
+  const CallDialect* dialect_;
   std::uint64_t version_ = 0;
   SimTransport caller_transport_;
   std::vector<SimNode> dead_;  ///< Kept since scheduled tasks still refer to them.
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -135,6 +135,17 @@
   EXPECT_EQ(state(), SERVER_UP);
 }
 
+// Guards against requests to a server whose answers say that it leaves.
+TEST_F(HeartbeatOrderTest, AnAnswerThatSaysThatTheServerLeavesHolds) {
+  SendHeartbeat("i-2", 200ms, 1);
+  monitor_.RecordLeavingAnswer("i-1");
+  EXPECT_EQ(state(), SERVER_UP) << "an answer of its predecessor";
+  monitor_.RecordLeavingAnswer("i-2");
+  EXPECT_EQ(state(), SERVER_LEAVING);
+  SendHeartbeat("i-2", 200ms, 2);
+  EXPECT_EQ(state(), SERVER_LEAVING);
+}
+
 // Guards against a server in use that has said that it leaves, in a heartbeat that was
 // overtaken.
 TEST_F(HeartbeatOrderTest, AnOvertakenHeartbeatThatLeavesCounts) {
--- a/tests/platform/call_dialect_test.cc
+++ b/tests/platform/call_dialect_test.cc
@@ -64,6 +64,13 @@
   EXPECT_TRUE(stale.not_run && stale.stale);
 }
 
+// Guards against requests to a server whose answers say that it leaves.
+TEST_F(PlatformDialectTest, ReadsThatTheServerLeaves) {
+  EXPECT_TRUE(
+      dialect_->ReadAnswer({{":status", "500"}, {"server-leaving", "1"}}).leaving);
+  EXPECT_FALSE(dialect_->ReadAnswer({{":status", "500"}}).leaving);
+}
+
 struct StatusRow {
   ResultCode code;
   bool not_run;
