Calls: the rate limit that a backend server states is read and shown

Change: dialects read the limit (AnswerMetadata::rate_limit); the event server.rate_limit tells when answers begin or cease to state one, the gauge quetzal_backend_rate_limit its value. Nothing is enforced yet.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -321,6 +321,9 @@
   if (metadata.leaving && on_leaving && context_->backend_server().state == SERVER_UP) {
     on_leaving(server_id_);
   }
+  // A refusal may come without the limit that answers state.
+  const bool stated = metadata.rate_limit.has_value();
+  if (stated || !metadata.not_run) context_->SetRateLimit(metadata.rate_limit);
 }
 
 void BackendCall::OnAnswerData(std::string bytes) {
--- a/src/libquetzal/calls/call_context.cc
+++ b/src/libquetzal/calls/call_context.cc
@@ -66,6 +66,27 @@
   return server_;
 }
 
+void CallContext::SetRateLimit(std::optional<double> per_second) {
+  std::string server_id;
+  {
+    const std::lock_guard<std::mutex> lock(server_mutex_);
+    const bool was_limited = rate_limit_.has_value();
+    rate_limit_ = per_second;
+    // The value may differ in each answer; a metric shows it.
+    if (per_second.has_value() == was_limited) return;
+    server_id = server_.id;
+  }
+  deps.events->Emit(
+      {"server.rate_limit",
+       {{"server", server_id},
+        {"per_second", per_second ? std::to_string(*per_second) : "none"}}});
+}
+
+std::optional<double> CallContext::rate_limit() const {
+  const std::lock_guard<std::mutex> lock(server_mutex_);
+  return rate_limit_;
+}
+
 std::string CallContext::MakeAttemptId() {
   const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(
       deps.clock->WallNow().time_since_epoch());
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "calls/attempt_table.h"
@@ -33,6 +34,10 @@
   void SetBackendServer(const LocalBackendServer& server);
   LocalBackendServer backend_server() const;
 
+  /// Sets the requests per second that the local backend server takes.
+  void SetRateLimit(std::optional<double> per_second);
+  std::optional<double> rate_limit() const;
+
   /// Creates a new attempt id of this node.
   std::string MakeAttemptId();
 
@@ -75,6 +80,7 @@
   std::shared_ptr<const RouteMatcher> matcher_;
   mutable std::mutex server_mutex_;
   LocalBackendServer server_;
+  std::optional<double> rate_limit_;
   std::mutex random_mutex_;
   /// Separate from deps.random, which the load table uses under its own mutex.
   Random random_;
--- a/src/libquetzal/calls/call_dialect.h
+++ b/src/libquetzal/calls/call_dialect.h
@@ -33,6 +33,8 @@
   bool stale = false;       ///< A server process with another id has this address.
   bool unverified = false;  ///< Successful, without proof that the server made it.
   bool leaving = false;     ///< The server leaves and takes no new requests.
+  /// Requests per second that the server takes from now on; null: as many as come.
+  std::optional<double> rate_limit;
 };
 
 /// Reads and writes the header fields that carry this metadata.
--- a/src/libquetzal/calls/call_path.cc
+++ b/src/libquetzal/calls/call_path.cc
@@ -64,6 +64,7 @@
   counts.shed = context.shed;
   counts.in_flight = context.drain.active_calls();
   counts.queued = context.admission.load().queued;
+  counts.rate_limit = context.rate_limit();
   return counts;
 }
 
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -96,6 +97,8 @@
   std::uint64_t shed = 0;       ///< Requests that admission refused.
   std::uint64_t in_flight = 0;  ///< Active calls of callers and peers.
   std::uint64_t queued = 0;     ///< Requests queued for a slot.
+  /// Requests per second that the local backend server takes; null: no limit.
+  std::optional<double> rate_limit;
 };
 
 /// Handles requests on this node: receives them from callers, chooses an instance and
--- a/tests/calls/notice_dialect.h
+++ b/tests/calls/notice_dialect.h
@@ -7,10 +7,12 @@
 
 namespace quetzal {
 
-/// The default dialect with a field in which a backend server says that it leaves.
+/// The default dialect with fields in which a backend server says that it leaves, and how
+/// many requests per second it takes.
 class NoticeDialect final : public CallDialect {
  public:
   static constexpr char kLeavingField[] = "x-leaving";
+  static constexpr char kRateLimitField[] = "x-rate-limit";
 
   CallerMetadata ReadCaller(const StreamHeaders& headers) const override {
     return base_.ReadCaller(headers);
@@ -23,6 +25,8 @@
   AnswerMetadata ReadAnswer(const StreamHeaders& headers) const override {
     AnswerMetadata metadata = base_.ReadAnswer(headers);
     metadata.leaving = !HeaderValue(headers, kLeavingField).empty();
+    const auto rate = ParseNumber(HeaderValue(headers, kRateLimitField), 1000);
+    if (rate) metadata.rate_limit = static_cast<double>(*rate);
     return metadata;
   }
   RefusalAnswer WriteRefusal(const Refusal& refusal,
--- a/tests/calls/server_notices_test.cc
+++ b/tests/calls/server_notices_test.cc
@@ -1,4 +1,5 @@
-// What a backend server says of itself in its answers: that it leaves.
+// What a backend server says of itself in its answers: that it leaves, and how many
+// requests it takes.
 #include <gtest/gtest.h>
 
 #include "calls/notice_dialect.h"
@@ -48,5 +49,24 @@
   EXPECT_EQ(HeaderValue(received->headers, NoticeDialect::kLeavingField), "1");
 }
 
+TEST_F(ServerNoticesTest, ALimitHoldsAsLongAsAnswersStateIt) {
+  for (const auto& server : cluster_.servers) {
+    server->extra_headers = {{NoticeDialect::kRateLimitField, "5"}};
+  }
+  cluster_.GetReport(0);
+  cluster_.Run(milliseconds(20));
+  const auto limit = [this](std::size_t n) {
+    return cluster_.nodes[n].path->counts().rate_limit;
+  };
+  ASSERT_TRUE(limit(0) || limit(1));
+  EXPECT_EQ(limit(0).value_or(5), 5);
+  for (const auto& server : cluster_.servers) server->extra_headers.clear();
+  for (int n = 0; n < 10; ++n) {
+    cluster_.GetReport(n % 2);
+    cluster_.Run(milliseconds(500));
+  }
+  EXPECT_FALSE(limit(0) || limit(1));
+}
+
 }  // namespace
 }  // namespace quetzal
--- a/tests/platform/call_dialect_test.cc
+++ b/tests/platform/call_dialect_test.cc
@@ -71,6 +71,17 @@
   EXPECT_FALSE(dialect_->ReadAnswer({{":status", "500"}}).leaving);
 }
 
+TEST_F(PlatformDialectTest, ReadsTheRateLimitOfTheServer) {
+  const auto limit = [this](const std::string& value) {
+    return dialect_->ReadAnswer({{":status", "500"}, {"server-limit", value}}).rate_limit;
+  };
+  EXPECT_EQ(limit("18.7"), 18.7);
+  EXPECT_EQ(limit("0"), 0.0);
+  for (const char* value : {"", "-1", "1e3", "many", "5 ", "nan", "inf"}) {
+    EXPECT_EQ(limit(value), std::nullopt) << value;
+  }
+}
+
 struct StatusRow {
   ResultCode code;
   bool not_run;
@@ -121,10 +132,10 @@
 TEST_F(PlatformDialectTest, ArbitraryFieldValuesAreRead) {
   EXPECT_TRUE(rc::check([this](const std::vector<std::string>& values) {
     StreamHeaders headers;
-    const char* const names[] = {":status", "x-attempt-id", "x-deadline-ms",
-                                 "x-not-executed", "x-response-seal"};
+    const char* const names[] = {":status",        "x-attempt-id",    "x-deadline-ms",
+                                 "x-not-executed", "x-response-seal", "server-limit"};
     for (std::size_t n = 0; n < values.size(); ++n) {
-      headers.emplace_back(names[n % 5], values[n]);
+      headers.emplace_back(names[n % 6], values[n]);
     }
     dialect_->ReadCaller(headers);
     dialect_->ReadAnswer(headers);
