--- a/tests/calls/server_notices_test.cc
+++ b/tests/calls/server_notices_test.cc
@@ -49,6 +49,30 @@
   EXPECT_EQ(HeaderValue(received->headers, NoticeDialect::kLeavingField), "1");
 }
 
+// A service with more requests than one of its servers takes. Guards against a server
+// that gets many times the limit that it states.
+TEST_F(ServerNoticesTest, AServerGetsNoMoreRequestsThanTheLimitThatItStates) {
+  constexpr int kLimit = 5;
+  constexpr std::chrono::seconds kWindow{4};
+  FakeBackendServer& limited = *cluster_.servers[0];
+  limited.extra_headers = {{NoticeDialect::kRateLimitField, std::to_string(kLimit)}};
+  std::vector<int> runs;  // Of the limited server, after each step.
+  int answered = 0;
+  const auto kStep = milliseconds(20);
+  for (int n = 0; n < 600; ++n) {
+    const auto received = cluster_.GetReport(n % 2);
+    cluster_.Run(kStep);
+    runs.push_back(limited.total_runs());
+    if (received->has_server_answer()) ++answered;
+  }
+  const std::size_t steps = kWindow / kStep;
+  for (std::size_t n = steps; n + steps < runs.size(); ++n) {
+    EXPECT_LE(runs[n + steps] - runs[n], 1.5 * kLimit * kWindow.count() + 5) << n;
+    EXPECT_GE(runs[n + steps] - runs[n], 0.5 * kLimit * kWindow.count()) << n;
+  }
+  EXPECT_EQ(answered, 600) << "the other server has room";
+}
+
 TEST_F(ServerNoticesTest, ALimitHoldsAsLongAsAnswersStateIt) {
   for (const auto& server : cluster_.servers) {
     server->extra_headers = {{NoticeDialect::kRateLimitField, "5"}};
