Base: a token bucket of its own

The limit of the event log's rate becomes TokenBucket, for use by admission. Behaviour of LimitedEventLog is unchanged (its test as it was).

--- a/src/libquetzal/base/limited_event_log.cc
+++ b/src/libquetzal/base/limited_event_log.cc
@@ -1,6 +1,5 @@
 #include "base/limited_event_log.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace quetzal {
@@ -9,8 +8,7 @@
     : next_(next),
       clock_(clock),
       settings_(std::move(settings)),
-      tokens_(settings_.burst),
-      refilled_at_(clock->Now()) {}
+      tokens_(settings_.per_second, settings_.burst, settings_.burst, clock->Now()) {}
 
 void LimitedEventLog::Emit(const Event& event) {
   std::uint64_t suppressed = 0;
@@ -24,15 +22,10 @@
 bool LimitedEventLog::Allow(const Event& event, std::uint64_t* suppressed) {
   if (event.name.compare(0, settings_.prefix.size(), settings_.prefix) != 0) return true;
   const std::lock_guard<std::mutex> lock(mutex_);
-  const SteadyTime now = clock_->Now();
-  const std::chrono::duration<double> elapsed = now - refilled_at_;
-  refilled_at_ = now;
-  tokens_ = std::min(settings_.burst, tokens_ + elapsed.count() * settings_.per_second);
-  if (tokens_ < 1) {
+  if (!tokens_.Take(clock_->Now())) {
     ++suppressed_;
     return false;
   }
-  tokens_ -= 1;
   *suppressed = std::exchange(suppressed_, 0);
   return true;
 }
--- a/src/libquetzal/base/limited_event_log.h
+++ b/src/libquetzal/base/limited_event_log.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "base/token_bucket.h"
 
 namespace quetzal {
 
@@ -34,8 +35,7 @@
   const Clock* clock_;
   const Settings settings_;
   std::mutex mutex_;
-  double tokens_;
-  SteadyTime refilled_at_;
+  TokenBucket tokens_;
   std::uint64_t suppressed_ = 0;
 };
 
