Admission: a backend server gets no more requests than the limit it states

Cause: a capability that was not built. The limit passed through as an unknown field; admission knew slots only. Change: AdmissionControl admits by a TokenBucket as well while a limit is stated, 250 ms of saved tokens at most and none at its beginning. Queued requests are admitted by a timer (BackendAdmission), waits and refusals count the rate, and the load report shows the slots that the rate keeps in use, so that other nodes choose other servers. Every request to a server passes its node: one bucket holds the sum over all machines. A limit that answers no longer state, or of a server process that another one replaced, ends. RateLimitPatternTest, RateLimitProperty. Left open: a node that restarts forgets the limit until the first answer.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -1,6 +1,7 @@
 #include "calls/admission_control.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -11,6 +12,10 @@
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 constexpr double kSlowStartFloor = 0.1;
 
+/// Requests that a rate limit saves while fewer than its rate come, as the time in which
+/// it grants them.
+constexpr std::chrono::duration<double> kRateBurst{0.25};
+
 /// A larger rank is shed earlier: low priority first, then long work, which holds up more
 /// others, then idempotent requests before others, then the request with the latest
 /// objective (or else deadline), since its caller can retry later.
@@ -36,11 +41,36 @@
   return decisions;
 }
 
+AdmissionControl::Decisions AdmissionControl::SetRateLimit(
+    std::optional<double> per_second, SteadyTime now) {
+  rate_ = per_second.value_or(0);
+  const double burst = std::max(1.0, rate_ * kRateBurst.count());
+  if (!per_second) {
+    rate_limit_.reset();
+  } else if (rate_limit_) {
+    rate_limit_->SetRate(rate_, burst, now);
+  } else {
+    rate_limit_.emplace(rate_, burst, 0, now);
+  }
+  return AdmitDue(now);
+}
+
+AdmissionControl::Decisions AdmissionControl::AdmitDue(SteadyTime now) {
+  Decisions decisions;
+  AdmitQueued(now, &decisions);
+  return decisions;
+}
+
+std::optional<Duration> AdmissionControl::NextAdmission(SteadyTime now) const {
+  if (!rate_limit_ || queue_.empty() || !HasFreeSlot(now)) return std::nullopt;
+  return rate_limit_->WaitFor(1, now);
+}
+
 AdmissionControl::Decisions AdmissionControl::Offer(AdmissionRequest request,
                                                     SteadyTime now) {
   const ResultCode refusal = RefusalByState();
   if (refusal != ResultCode::kOk) return {Refuse(request.id, refusal, now)};
-  if (queue_.empty() && outstanding_ < EffectiveSlots(now)) {
+  if (queue_.empty() && HasFreeSlot(now) && (!rate_limit_ || rate_limit_->Take(now))) {
     ++outstanding_;
     return {{request.id, ResultCode::kOk, {}}};
   }
@@ -90,7 +120,7 @@
   LoadReport report;
   report.outstanding = outstanding_;
   report.queued = static_cast<std::uint32_t>(queue_.size());
-  report.slots = RefusalByState() == ResultCode::kOk ? EffectiveSlots(now) : 0;
+  report.slots = RefusalByState() == ResultCode::kOk ? UsableSlots(now) : 0;
   report.service_time = service_times_.mean();
   return report;
 }
@@ -107,6 +137,15 @@
       1, static_cast<std::uint32_t>(static_cast<double>(slots) * share));
 }
 
+std::uint32_t AdmissionControl::UsableSlots(SteadyTime now) const {
+  const std::uint32_t slots = EffectiveSlots(now);
+  const Duration mean = service_times_.mean();
+  if (!rate_limit_ || mean == Duration::zero()) return slots;
+  const double in_use = rate_ * std::chrono::duration<double>(mean).count();
+  return in_use < slots ? std::max(1U, static_cast<std::uint32_t>(std::ceil(in_use)))
+                        : slots;
+}
+
 std::size_t AdmissionControl::QueueLimit() const {
   return limits_.queue > 0 ? limits_.queue : limits_.slots;
 }
@@ -123,17 +162,24 @@
 Duration AdmissionControl::EstimateWaitFor(const AdmissionRequest& request,
                                            SteadyTime now) const {
   Duration ahead{};
+  std::size_t requests_ahead = 0;
   for (const AdmissionRequest& other : queue_) {
-    if (!ShedBefore(other, request)) ahead += service_times_.Expected(other.work);
+    if (ShedBefore(other, request)) continue;
+    ahead += service_times_.Expected(other.work);
+    ++requests_ahead;
   }
-  return EstimateWait(ahead, now);
+  return EstimateWait(ahead, requests_ahead, now);
 }
 
 /// A slot becomes free once per mean service time divided by the number of slots. The
 /// work of the requests ahead is shared among the slots in the same way.
-Duration AdmissionControl::EstimateWait(Duration work_ahead, SteadyTime now) const {
+Duration AdmissionControl::EstimateWait(Duration work_ahead, std::size_t requests_ahead,
+                                        SteadyTime now) const {
   const std::uint32_t slots = std::max<std::uint32_t>(1, EffectiveSlots(now));
-  return (work_ahead + service_times_.mean()) / slots;
+  const Duration for_slot = (work_ahead + service_times_.mean()) / slots;
+  if (!rate_limit_) return for_slot;
+  return std::max(for_slot,
+                  rate_limit_->WaitFor(static_cast<double>(requests_ahead) + 1, now));
 }
 
 bool AdmissionControl::CanFinish(const AdmissionRequest& request, Duration wait,
@@ -152,7 +198,8 @@
   Duration ahead{};
   for (const AdmissionRequest& other : queue_)
     ahead += service_times_.Expected(other.work);
-  return std::clamp(EstimateWait(ahead, now), kMinRetryAfter, kMaxRetryAfter);
+  return std::clamp(EstimateWait(ahead, queue_.size(), now), kMinRetryAfter,
+                    kMaxRetryAfter);
 }
 
 AdmissionDecision AdmissionControl::Refuse(std::uint64_t id, ResultCode code,
@@ -168,7 +215,8 @@
 }
 
 void AdmissionControl::AdmitQueued(SteadyTime now, Decisions* decisions) {
-  while (!queue_.empty() && outstanding_ < EffectiveSlots(now)) {
+  while (!queue_.empty() && HasFreeSlot(now)) {
+    if (rate_limit_ && rate_limit_->WaitFor(1, now) > Duration::zero()) return;
     const AdmissionRequest next = queue_.back();
     queue_.pop_back();
     // An answer after its objective is of little use: the slot goes to a queued request
@@ -178,6 +226,7 @@
       decisions->push_back(Refuse(next.id, ResultCode::kShed, now));
       continue;
     }
+    if (rate_limit_) rate_limit_->Take(now);
     ++outstanding_;
     decisions->push_back({next.id, ResultCode::kOk, {}});
   }
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/result_code.h"
+#include "base/token_bucket.h"
 #include "calls/call_headers.h"
 #include "calls/service_times.h"
 #include "membership.pb.h"
@@ -52,6 +53,16 @@
   /// Sets new limits. Refuses the whole queue when the server no longer accepts work.
   Decisions SetLimits(const AdmissionLimits& limits, SteadyTime now);
 
+  /// Sets the requests per second that the server takes; null: as many as come.
+  Decisions SetRateLimit(std::optional<double> per_second, SteadyTime now);
+
+  /// Admits queued requests that the rate limit now allows.
+  Decisions AdmitDue(SteadyTime now);
+
+  /// Time until AdmitDue can admit a request that waits only for the rate limit; null if
+  /// there is none.
+  std::optional<Duration> NextAdmission(SteadyTime now) const;
+
   /// Handles a new request. A request without a decision is queued.
   Decisions Offer(AdmissionRequest request, SteadyTime now);
 
@@ -78,12 +89,16 @@
 
  private:
   std::uint32_t EffectiveSlots(SteadyTime now) const;
+  bool HasFreeSlot(SteadyTime now) const { return outstanding_ < EffectiveSlots(now); }
+  /// Slots that the rate limit allows to be in use on average.
+  std::uint32_t UsableSlots(SteadyTime now) const;
   std::size_t QueueLimit() const;
   ResultCode RefusalByState() const;
 
   /// Expected wait of `request` behind the queued requests that precede it.
   Duration EstimateWaitFor(const AdmissionRequest& request, SteadyTime now) const;
-  Duration EstimateWait(Duration work_ahead, SteadyTime now) const;
+  Duration EstimateWait(Duration work_ahead, std::size_t requests_ahead,
+                        SteadyTime now) const;
   bool CanFinish(const AdmissionRequest& request, Duration wait, SteadyTime now) const;
   bool MeetsObjective(const AdmissionRequest& request, Duration wait,
                       SteadyTime now) const;
@@ -93,6 +108,8 @@
   Decisions RefuseQueue(ResultCode code, SteadyTime now);
 
   AdmissionLimits limits_;
+  std::optional<TokenBucket> rate_limit_;
+  double rate_ = 0;  ///< Of rate_limit_, requests per second.
   SteadyTime up_since_;
   bool stopped_ = false;
   std::uint32_t outstanding_ = 0;
--- a/src/libquetzal/calls/backend_admission.cc
+++ b/src/libquetzal/calls/backend_admission.cc
@@ -2,35 +2,66 @@
 
 namespace quetzal {
 
-void BackendAdmission::SetServer(const AdmissionLimits& limits) {
+template <class Operation>
+void BackendAdmission::Apply(Operation operation) {
   PendingCallbacks callbacks;
+  bool schedule = false;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    callbacks = TakeCallbacksLocked(control_.SetLimits(limits, clock_->Now()));
+    const SteadyTime now = clock_->Now();
+    callbacks = TakeCallbacksLocked(operation(now));
+    schedule = !admission_scheduled_ && control_.NextAdmission(now).has_value();
+    admission_scheduled_ = admission_scheduled_ || schedule;
   }
   Notify(callbacks);
+  if (!schedule) return;
+  executor_->Post([weak = weak_from_this()] {
+    if (auto admission = weak.lock()) admission->StartTimer();
+  });
+}
+
+void BackendAdmission::SetServer(const AdmissionLimits& limits) {
+  Apply([&](SteadyTime now) { return control_.SetLimits(limits, now); });
+}
+
+void BackendAdmission::SetRateLimit(std::optional<double> per_second) {
+  Apply([&](SteadyTime now) { return control_.SetRateLimit(per_second, now); });
 }
 
 std::uint64_t BackendAdmission::Offer(AdmissionRequest request,
                                       DecisionCallback on_decision) {
-  PendingCallbacks callbacks;
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    request.id = ++last_id_;
-    undecided_.emplace(request.id, std::move(on_decision));
-    callbacks = TakeCallbacksLocked(control_.Offer(request, clock_->Now()));
-  }
-  Notify(callbacks);
-  return request.id;
+  std::uint64_t id = 0;
+  Apply([&](SteadyTime now) {
+    id = request.id = ++last_id_;
+    undecided_.emplace(id, std::move(on_decision));
+    return control_.Offer(std::move(request), now);
+  });
+  return id;
 }
 
 void BackendAdmission::Finish(const std::string& work, Duration service_time) {
-  PendingCallbacks callbacks;
+  Apply([&](SteadyTime now) { return control_.Finish(work, service_time, now); });
+}
+
+void BackendAdmission::StartTimer() {
+  std::optional<Duration> wait;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
-    callbacks = TakeCallbacksLocked(control_.Finish(work, service_time, clock_->Now()));
+    wait = control_.NextAdmission(clock_->Now());
+    // Without a free slot, the next request that ends admits one and schedules again.
+    admission_scheduled_ = wait.has_value();
   }
-  Notify(callbacks);
+  if (!wait) return;
+  timer_ = executor_->After(*wait, [weak = weak_from_this()] {
+    if (auto admission = weak.lock()) admission->AdmitDue();
+  });
+}
+
+void BackendAdmission::AdmitDue() {
+  Apply([this](SteadyTime now) {
+    admission_scheduled_ = false;
+    return control_.AdmitDue(now);
+  });
 }
 
 bool BackendAdmission::Cancel(std::uint64_t id) {
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -106,7 +106,7 @@
   if (head_.objective) request.objective = context_->Now() + *head_.objective;
   request.max_wait = head_.max_wait;
   request.work = head_.route;
-  admission_id_ = context_->admission.Offer(
+  admission_id_ = context_->admission->Offer(
       request, [call = shared_from_this()](const AdmissionDecision& decision) {
         call->queue_.Run([call, decision] { call->OnDecision(decision); });
       });
@@ -168,7 +168,7 @@
 
 void BackendCall::SendInterim(const char* status) {
   StreamHeaders headers = {{":status", status}};
-  AddLoad(context_->admission.load(), &headers);
+  AddLoad(context_->admission->load(), &headers);
   peer_->SendHeaders(std::move(headers), false);
 }
 
@@ -257,7 +257,7 @@
   peer_disconnected_ = true;
   if (phase_ == Phase::kQueued) {
     EndAttempt(AttemptState::kNotRun);
-    context_->admission.Cancel(admission_id_);
+    context_->admission->Cancel(admission_id_);
     return EndCall();
   }
   if (phase_ == Phase::kGranted) {
@@ -291,7 +291,7 @@
     }
   }
   answer.insert(answer.begin(), {":status", status});
-  AddLoad(context_->admission.load(), &answer);
+  AddLoad(context_->admission->load(), &answer);
   if (!peer_disconnected_) peer_->SendHeaders(std::move(answer), false);
 }
 
@@ -310,7 +310,7 @@
   } else if (metadata.stale) {
     Refuse(ResultCode::kStaleIncarnation, true, {});
   } else {
-    Refuse(ResultCode::kServerFull, true, context_->admission.RetryAfter());
+    Refuse(ResultCode::kServerFull, true, context_->admission->RetryAfter());
   }
   return true;
 }
@@ -394,7 +394,7 @@
   ReleaseSlot(false);
   if (!peer_disconnected_) {
     peer_->SendHeaders(EncodeRefusal({code, not_run, retry_after, reached_server_},
-                                     context_->admission.load()),
+                                     context_->admission->load()),
                        true);
   }
   EndCall();
@@ -411,8 +411,8 @@
 void BackendCall::ReleaseSlot(bool answered) {
   if (!holds_slot_) return;
   holds_slot_ = false;
-  context_->admission.Finish(head_.route,
-                             answered ? context_->Now() - sent_at_ : Duration::zero());
+  context_->admission->Finish(head_.route,
+                              answered ? context_->Now() - sent_at_ : Duration::zero());
 }
 
 void BackendCall::EndCall() {
--- a/src/libquetzal/calls/call_context.cc
+++ b/src/libquetzal/calls/call_context.cc
@@ -29,7 +29,8 @@
       loads(dependencies.clock, dependencies.random),
       budgets(options.retry_percent, options.shared_retry_burst),
       attempts(kMaxAttempts, kMaxAttemptAnswerBytes),
-      admission(dependencies.clock),
+      admission(
+          std::make_shared<BackendAdmission>(dependencies.clock, dependencies.executor)),
       dialect_(DialectOrDefault(dependencies.dialect)),
       random_(dependencies.random->Next()) {}
 
@@ -54,10 +55,13 @@
 }
 
 void CallContext::SetBackendServer(const LocalBackendServer& server) {
+  bool replaced = false;
   {
     const std::lock_guard<std::mutex> lock(server_mutex_);
+    replaced = !server_.id.empty() && server_.id != server.id;
     server_ = server;
   }
+  if (replaced) SetRateLimit(std::nullopt);
   ApplyLimits();
 }
 
@@ -68,14 +72,17 @@
 
 void CallContext::SetRateLimit(std::optional<double> per_second) {
   std::string server_id;
+  bool was_limited = false;
   {
     const std::lock_guard<std::mutex> lock(server_mutex_);
-    const bool was_limited = rate_limit_.has_value();
+    if (per_second == rate_limit_) return;
+    was_limited = rate_limit_.has_value();
     rate_limit_ = per_second;
-    // The value may differ in each answer; a metric shows it.
-    if (per_second.has_value() == was_limited) return;
     server_id = server_.id;
   }
+  admission->SetRateLimit(per_second);
+  // The value may differ in each answer; a metric shows it.
+  if (per_second.has_value() == was_limited) return;
   deps.events->Emit(
       {"server.rate_limit",
        {{"server", server_id},
@@ -103,7 +110,7 @@
   // If another thread changed the limits meanwhile, the newer ones are applied again.
   std::uint64_t seen = ++limits_changes_;
   for (;;) {
-    admission.SetServer(CurrentLimits());
+    admission->SetServer(CurrentLimits());
     const std::uint64_t latest = limits_changes_;
     if (latest == seen) return;
     seen = latest;
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -57,7 +57,7 @@
   RefusalRates refusal_rates;
   CallerTimeoutEstimator caller_timeouts;
   AttemptTable attempts;
-  BackendAdmission admission;
+  const std::shared_ptr<BackendAdmission> admission;
   DrainGate drain;
   LocalStreams local_streams;
 
--- a/src/libquetzal/calls/call_path.cc
+++ b/src/libquetzal/calls/call_path.cc
@@ -49,7 +49,7 @@
 void CallPath::Drain(std::function<void()> done) {
   CallContext& context = *impl_->context;
   Executor* executor = context.deps.executor;
-  context.admission.Stop();
+  context.admission->Stop();
   context.drain.Drain([executor, done = std::move(done)] { executor->Post(done); });
 }
 
@@ -63,7 +63,7 @@
   counts.admitted = context.admitted;
   counts.shed = context.shed;
   counts.in_flight = context.drain.active_calls();
-  counts.queued = context.admission.load().queued;
+  counts.queued = context.admission->load().queued;
   counts.rate_limit = context.rate_limit();
   return counts;
 }
--- a/tests/calls/load_decisions_test.cc
+++ b/tests/calls/load_decisions_test.cc
@@ -1,9 +1,13 @@
 // Admission, retries and the choice of a server under typical patterns of load, without a
 // network.
+#include <algorithm>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "calls/admission_control.h"
 #include "calls/caller_timeout_estimator.h"
@@ -191,6 +195,102 @@
 }
 
 // Sustained overload: callers that retry at once would be refused again.
+// A server in need: it has free slots and takes fewer requests than come. Its requests
+// are spread over time, and those that can't be served in time are refused at once.
+class RateLimitPatternTest : public AdmissionPatternTest {
+ protected:
+  void SetRateLimit(std::optional<double> per_second) {
+    RecordDecisions(control_.SetRateLimit(per_second, clock_.Now()));
+  }
+  void AdvanceAndAdmit(Duration by) {
+    clock_.Advance(by);
+    RecordDecisions(control_.AdmitDue(clock_.Now()));
+  }
+  int Admitted() const {
+    return static_cast<int>(std::count_if(
+        decisions_.begin(), decisions_.end(),
+        [](const auto& entry) { return entry.second.code == ResultCode::kOk; }));
+  }
+};
+
+TEST_F(RateLimitPatternTest, QueuedRequestsAreAdmittedAtTheRate) {
+  TrainServiceTime("read", milliseconds(20));
+  SetRateLimit(10);
+  for (const int id : {1, 2, 3}) Offer(id, "read", seconds(2));
+  EXPECT_EQ(Admitted(), 0) << "nothing is saved when a limit begins";
+  EXPECT_EQ(control_.NextAdmission(clock_.Now()), Duration(milliseconds(100)));
+  AdvanceAndAdmit(milliseconds(100));
+  EXPECT_EQ(CodeOf(1), ResultCode::kOk);
+  Finish("read", milliseconds(20));
+  EXPECT_EQ(CodeOf(2), ResultCode::kPending) << "a free slot is not enough";
+  AdvanceAndAdmit(milliseconds(100));
+  EXPECT_EQ(CodeOf(2), ResultCode::kOk);
+}
+
+TEST_F(RateLimitPatternTest, ARefusalStatesTheWaitForTheRate) {
+  TrainServiceTime("read", milliseconds(20));
+  SetRateLimit(4);
+  Offer(1, "read", seconds(2), Duration::zero());
+  EXPECT_EQ(CodeOf(1), ResultCode::kServerFull);
+  EXPECT_EQ(decisions_[1].retry_after, Duration(milliseconds(250)));
+  Offer(2, "read", milliseconds(200));
+  EXPECT_EQ(CodeOf(2), ResultCode::kShed) << "it would be late";
+}
+
+TEST_F(RateLimitPatternTest, RequestsAreAdmittedAtOnceWhenTheLimitEnds) {
+  TrainServiceTime("read", milliseconds(20));
+  SetRateLimit(1);
+  for (const int id : {1, 2}) Offer(id, "read", seconds(5));
+  SetRateLimit(std::nullopt);
+  EXPECT_EQ(Admitted(), 2);
+  EXPECT_EQ(control_.NextAdmission(clock_.Now()), std::nullopt);
+}
+
+TEST_F(RateLimitPatternTest, OtherNodesSeeASmallerServer) {
+  TrainServiceTime("read", milliseconds(200));
+  EXPECT_EQ(control_.load(clock_.Now()).slots, 2U);
+  SetRateLimit(5);
+  EXPECT_EQ(control_.load(clock_.Now()).slots, 1U) << "five times 200 ms a second";
+  SetRateLimit(0);
+  EXPECT_EQ(control_.load(clock_.Now()).slots, 1U);
+}
+
+// Requests press on a server whose stated limit changes from answer to answer.
+RC_GTEST_PROP(RateLimitProperty, AnyWindowStaysWithinTheHighestRate, ()) {
+  constexpr seconds kWindow{4};
+  ManualClock clock;
+  AdmissionControl control;
+  AdmissionLimits limits;
+  limits.state = SERVER_UP;
+  limits.slots = 18;
+  control.SetLimits(limits, clock.Now());
+  const double rate = *rc::gen::inRange(1, 40);
+  std::deque<SteadyTime> admitted;
+  for (std::uint64_t id = 1; id <= 1500; ++id) {
+    AdmissionRequest request;
+    request.id = id;
+    request.deadline = clock.Now() + seconds(1);
+    auto decisions = control.SetRateLimit(rate * (1 - 0.1 * (id % 2)), clock.Now());
+    for (const auto& decision : control.Offer(request, clock.Now())) {
+      decisions.push_back(decision);
+    }
+    for (const AdmissionDecision& decision : decisions) {
+      if (decision.code == ResultCode::kOk) admitted.push_back(clock.Now());
+    }
+    while (control.outstanding() > 0) {
+      for (const AdmissionDecision& decision :
+           control.Finish("read", milliseconds(5), clock.Now())) {
+        if (decision.code == ResultCode::kOk) admitted.push_back(clock.Now());
+      }
+    }
+    while (!admitted.empty() && clock.Now() - admitted.front() >= kWindow) {
+      admitted.pop_front();
+    }
+    RC_ASSERT(static_cast<double>(admitted.size()) <= 1.1 * rate * kWindow.count() + 2);
+    clock.Advance(milliseconds(*rc::gen::inRange(1, 20)));
+  }
+}
+
 TEST(RefusalRatesTest, RetryAfterGrowsWithTheShareOfRefusedRequests) {
   RefusalRates rates;
   const SteadyTime now = SteadyTime(seconds(100));
--- a/tests/calls/server_notices_test.cc
+++ b/tests/calls/server_notices_test.cc
@@ -15,6 +15,7 @@
   ServerNoticesTest() {
     for (Route& route : *cluster_.configuration.mutable_routes()) {
       route.set_keyless(true);
+      route.set_objective_ms(500);
     }
     cluster_.Distribute();
   }
