Calls: a stated rate limit survives the restart of the server's node

Cause (suspected from these times, shown by the test): a node that restarts knows no limit until the server's first answer, and fills all slots; meanwhile other nodes, which have been told, go on sending. Change: the coordinating node remembers the limit that the last answer of an instance stated, and sends it along; the admitting node adopts it while it has had no answer of its server itself. Evidence: ServerNoticesTest.ALimitHoldsAcrossARestartOfTheNode: 20 requests in the first second after the restart before, at most 10 now (5 a second stated).

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -98,6 +98,7 @@
   if (refusal.code != ResultCode::kOk) {
     return Refuse(refusal.code, refusal.not_run, refusal.retry_after);
   }
+  if (head_.rate_limit) context_->AdoptRateLimit(*head_.rate_limit);
   phase_ = Phase::kQueued;
   AdmissionRequest request;
   request.idempotent = head_.idempotent;
@@ -323,7 +324,7 @@
   }
   // A refusal may come without the limit that answers state.
   const bool stated = metadata.rate_limit.has_value();
-  if (stated || !metadata.not_run) context_->SetRateLimit(metadata.rate_limit);
+  if (stated || !metadata.not_run) context_->RecordRateLimit(metadata.rate_limit);
 }
 
 void BackendCall::OnAnswerData(std::string bytes) {
--- a/src/libquetzal/calls/call_context.cc
+++ b/src/libquetzal/calls/call_context.cc
@@ -60,6 +60,7 @@
     const std::lock_guard<std::mutex> lock(server_mutex_);
     replaced = !server_.id.empty() && server_.id != server.id;
     server_ = server;
+    if (replaced) server_answered_ = false;
   }
   if (replaced) SetRateLimit(std::nullopt);
   ApplyLimits();
@@ -70,6 +71,22 @@
   return server_;
 }
 
+void CallContext::RecordRateLimit(std::optional<double> per_second) {
+  {
+    const std::lock_guard<std::mutex> lock(server_mutex_);
+    server_answered_ = true;
+  }
+  SetRateLimit(per_second);
+}
+
+void CallContext::AdoptRateLimit(double per_second) {
+  {
+    const std::lock_guard<std::mutex> lock(server_mutex_);
+    if (server_answered_) return;
+  }
+  SetRateLimit(per_second);
+}
+
 void CallContext::SetRateLimit(std::optional<double> per_second) {
   std::string server_id;
   bool was_limited = false;
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -34,10 +34,15 @@
   void SetBackendServer(const LocalBackendServer& server);
   LocalBackendServer backend_server() const;
 
-  /// Sets the requests per second that the local backend server takes.
-  void SetRateLimit(std::optional<double> per_second);
+  /// Sets the requests per second that the local backend server takes, as its answer
+  /// states it.
+  void RecordRateLimit(std::optional<double> per_second);
   std::optional<double> rate_limit() const;
 
+  /// Sets the limit that another node was told, unless this one has had an answer of the
+  /// server itself.
+  void AdoptRateLimit(double per_second);
+
   /// Creates a new attempt id of this node.
   std::string MakeAttemptId();
 
@@ -71,6 +76,7 @@
  private:
   void ApplyLimits();
   AdmissionLimits CurrentLimits() const;
+  void SetRateLimit(std::optional<double> per_second);
 
   const CallDialect* const dialect_;
   StreamAcceptor admitting_side_;
@@ -81,6 +87,7 @@
   mutable std::mutex server_mutex_;
   LocalBackendServer server_;
   std::optional<double> rate_limit_;
+  bool server_answered_ = false;  ///< Since this process and the server started.
   std::mutex random_mutex_;
   /// Separate from deps.random, which the load table uses under its own mutex.
   Random random_;
--- a/src/libquetzal/calls/call_headers.cc
+++ b/src/libquetzal/calls/call_headers.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 
 namespace quetzal {
 namespace {
@@ -22,6 +23,7 @@
 constexpr char kRouteField[] = "x-qz-route";
 constexpr char kObjectiveField[] = "x-qz-objective-us";
 constexpr char kMaxWaitField[] = "x-qz-max-wait-us";
+constexpr char kRateLimitField[] = "x-qz-rate-limit";
 constexpr char kHopsField[] = "x-qz-hops";
 constexpr char kViaField[] = "x-qz-via";
 constexpr char kLoadField[] = "x-qz-load";
@@ -97,6 +99,15 @@
   return number;
 }
 
+std::optional<double> ParseRate(std::string_view text) {
+  double rate = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] =
+      std::from_chars(text.data(), end, rate, std::chars_format::fixed);
+  const bool valid = ec == std::errc() && stop == end && std::isfinite(rate) && rate >= 0;
+  return valid ? std::optional(rate) : std::nullopt;
+}
+
 StreamHeaders EndToEndFields(const StreamHeaders& fields) {
   // Fields that the connection field names apply to this hop only.
   std::string named;
@@ -137,6 +148,9 @@
   if (!head.route.empty()) headers.emplace_back(kRouteField, head.route);
   AppendMicros(kObjectiveField, head.objective, &headers);
   AppendMicros(kMaxWaitField, head.max_wait, &headers);
+  if (head.rate_limit) {
+    headers.emplace_back(kRateLimitField, std::to_string(*head.rate_limit));
+  }
   if (!head.attempt_id.empty()) {
     headers.emplace_back(kAttemptField, head.attempt_id);
     headers.emplace_back(kIncarnationField, std::to_string(head.incarnation));
@@ -158,6 +172,7 @@
   head.route = HeaderValue(headers, kRouteField);
   head.objective = ParseMicros(HeaderValue(headers, kObjectiveField));
   head.max_wait = ParseMicros(HeaderValue(headers, kMaxWaitField));
+  head.rate_limit = ParseRate(HeaderValue(headers, kRateLimitField));
   head.idempotent = HeaderValue(headers, kIdempotentField) == "1";
   head.expects_continue = HeaderValue(headers, kExpectField) == kExpectContinue;
   const auto priority = ParseNumber(HeaderValue(headers, kPriorityField), kMaxCount);
--- a/src/libquetzal/calls/call_headers.h
+++ b/src/libquetzal/calls/call_headers.h
@@ -43,6 +43,8 @@
   std::optional<Duration> max_wait;   ///< An expected wait this long is refused.
   int hops = 0;
   std::string via;
+  /// Requests per second that the server takes, as its last answer to the sender states.
+  std::optional<double> rate_limit;
   bool expects_continue = false;  ///< Runs only after its sender's confirmation.
 };
 
@@ -86,6 +88,9 @@
 /// Decimal number; null when `text` is anything else or exceeds `max`.
 std::optional<std::uint64_t> ParseNumber(std::string_view text, std::uint64_t max);
 
+/// Decimal number from 0 on, without an exponent; null for anything else.
+std::optional<double> ParseRate(std::string_view text);
+
 /// True for a status of 500 and above.
 bool IsServerError(std::string_view status);
 
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -196,6 +196,7 @@
     head.objective = std::max(Duration::zero(), Objective() - context_->Now());
   }
   if (requires_free_slot_) head.max_wait = Duration::zero();
+  head.rate_limit = context_->loads.rate_limit(target_->instance);
   head.priority = route_->priority();
   head.remaining = std::max(Duration::zero(), deadline_ - context_->Now());
   head.expects_continue = !confirmed_;
@@ -251,6 +252,8 @@
   if (const auto load = DecodeLoad(headers)) context_->loads.Report(*target_, *load);
   if (IsInterimStatus(HeaderValue(headers, ":status"))) return OnInterimAnswer(headers);
   if (const auto refusal = DecodeRefusal(headers)) return OnAttemptRefused(*refusal);
+  context_->loads.RecordRateLimit(*target_,
+                                  context_->dialect().ReadAnswer(headers).rate_limit);
   phase_ = Phase::kAnswer;
   answer_.Begin(headers, method_, guard_ != nullptr);
 }
--- a/src/libquetzal/calls/load_table.cc
+++ b/src/libquetzal/calls/load_table.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t kMaxCandidates = 32;
+
+/// Stated limits that are kept for instances that are no targets at the time.
+constexpr std::size_t kMaxRateLimits = 64;
 constexpr int kFailuresToEject = 3;
 constexpr Duration kBaseEjection = std::chrono::seconds(1);
 constexpr Duration kMaxEjection = std::chrono::seconds(30);
@@ -133,6 +136,22 @@
   entry.slow_start_from = entry.ejected_until;
 }
 
+void LoadTable::RecordRateLimit(const BackendTarget& target,
+                                std::optional<double> per_second) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (per_second) {
+    rate_limits_[target.instance] = *per_second;
+  } else {
+    rate_limits_.erase(target.instance);
+  }
+}
+
+std::optional<double> LoadTable::rate_limit(const std::string& instance) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = rate_limits_.find(instance);
+  return it == rate_limits_.end() ? std::nullopt : std::optional(it->second);
+}
+
 void LoadTable::Prune(const RoutingSnapshot& snapshot) {
   std::unordered_set<std::string_view> live;
   for (const BackendTarget& target : snapshot.targets) live.insert(target.instance);
@@ -141,6 +160,11 @@
     it = live.count(it->first) > 0 || it->second.outstanding > 0 ? std::next(it)
                                                                  : entries_.erase(it);
   }
+  // A limit outlives the restart of its node, during which the instance is no target.
+  if (rate_limits_.size() <= kMaxRateLimits) return;
+  for (auto it = rate_limits_.begin(); it != rate_limits_.end();) {
+    it = live.count(it->first) > 0 ? std::next(it) : rate_limits_.erase(it);
+  }
 }
 
 std::uint32_t LoadTable::outstanding(const std::string& instance) const {
--- a/src/libquetzal/calls/load_table.h
+++ b/src/libquetzal/calls/load_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -55,6 +56,13 @@
   /// Records the end of an attempt that Choose or Begin counted.
   void End(const BackendTarget& target, AttemptEnd end);
 
+  /// Records the requests per second that an answer of the target's server states; null:
+  /// as many as come.
+  void RecordRateLimit(const BackendTarget& target, std::optional<double> per_second);
+
+  /// The last recorded one, also of an earlier run of the instance's node.
+  std::optional<double> rate_limit(const std::string& instance) const;
+
   /// Drops the entries of instances that are no longer in the snapshot.
   void Prune(const RoutingSnapshot& snapshot);
 
@@ -107,6 +115,7 @@
   std::unordered_map<std::string, Entry> entries_;
   std::unordered_map<std::string, DataCentreReachability> data_centre_reachability_;
   std::unordered_map<std::string, std::unique_ptr<TargetSelector>> selectors_;
+  std::unordered_map<std::string, double> rate_limits_;  ///< By instance.
 };
 
 }  // namespace quetzal
--- a/tests/calls/server_notices_test.cc
+++ b/tests/calls/server_notices_test.cc
@@ -74,6 +74,29 @@
   EXPECT_EQ(answered, 600) << "the other server has room";
 }
 
+// Guards against a node that forgets at its restart what its server takes, while other
+// nodes have been told.
+TEST_F(ServerNoticesTest, ALimitHoldsAcrossARestartOfTheNode) {
+  constexpr int kLimit = 5;
+  FakeBackendServer& limited = *cluster_.servers[0];
+  limited.extra_headers = {{NoticeDialect::kRateLimitField, std::to_string(kLimit)}};
+  limited.service_time = milliseconds(700);
+  cluster_.servers[1]->service_time = milliseconds(400);
+  const auto send = [this](Duration span) {
+    for (Duration sent{}; sent < span; sent += milliseconds(10)) {
+      cluster_.GetReport(1);
+      cluster_.Run(milliseconds(10));
+    }
+  };
+  send(std::chrono::seconds(4));
+  cluster_.Kill(0);
+  cluster_.Run(std::chrono::seconds(2));
+  cluster_.Restart(0);
+  const int before = limited.total_runs();
+  send(std::chrono::seconds(1));
+  EXPECT_LE(limited.total_runs() - before, 2 * kLimit);
+}
+
 TEST_F(ServerNoticesTest, ALimitHoldsAsLongAsAnswersStateIt) {
   for (const auto& server : cluster_.servers) {
     server->extra_headers = {{NoticeDialect::kRateLimitField, "5"}};
