Admission: a server that states a limit of nothing is asked now and then

Cause: found while reading the diff. Only an answer ends a stated limit, so that a limit of 0 would have held for ever; and an answer of a server process that another one has replaced set the limit of its successor. Change: at least one request in 2 s; notices of a former process are ignored. Evidence: RateLimitPatternTest.AServerThatTakesNothingIsAskedNowAndThen: never admitted before.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -16,6 +16,10 @@
 /// it grants them.
 constexpr std::chrono::duration<double> kRateBurst{0.25};
 
+/// Requests per second that a server gets whatever its limit: only an answer shows that
+/// the limit has ended.
+constexpr double kMinRate = 0.5;
+
 /// A larger rank is shed earlier: low priority first, then long work, which holds up more
 /// others, then idempotent requests before others, then the request with the latest
 /// objective (or else deadline), since its caller can retry later.
@@ -43,7 +47,7 @@
 
 AdmissionControl::Decisions AdmissionControl::SetRateLimit(
     std::optional<double> per_second, SteadyTime now) {
-  rate_ = per_second.value_or(0);
+  rate_ = std::max(kMinRate, per_second.value_or(0));
   const double burst = std::max(1.0, rate_ * kRateBurst.count());
   if (!per_second) {
     rate_limit_.reset();
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -317,11 +317,11 @@
 }
 
 void BackendCall::ApplyServerNotices(const AnswerMetadata& metadata) {
+  const LocalBackendServer server = context_->backend_server();
+  if (server.id != server_id_) return;
   const auto& on_leaving = context_->deps.on_backend_leaving;
   // All answers of a leaving server say so; one notice is enough.
-  if (metadata.leaving && on_leaving && context_->backend_server().state == SERVER_UP) {
-    on_leaving(server_id_);
-  }
+  if (metadata.leaving && on_leaving && server.state == SERVER_UP) on_leaving(server_id_);
   // A refusal may come without the limit that answers state.
   const bool stated = metadata.rate_limit.has_value();
   if (stated || !metadata.not_run) context_->RecordRateLimit(metadata.rate_limit);
--- a/tests/calls/load_decisions_test.cc
+++ b/tests/calls/load_decisions_test.cc
@@ -246,6 +246,17 @@
   EXPECT_EQ(control_.NextAdmission(clock_.Now()), std::nullopt);
 }
 
+// Guards against a limit that never ends, since no answer can end it.
+TEST_F(RateLimitPatternTest, AServerThatTakesNothingIsAskedNowAndThen) {
+  TrainServiceTime("read", milliseconds(20));
+  SetRateLimit(0);
+  for (const int id : {1, 2, 3}) Offer(id, "read", seconds(9));
+  AdvanceAndAdmit(seconds(4));
+  EXPECT_EQ(Admitted(), 1);
+  AdvanceAndAdmit(seconds(2));
+  EXPECT_EQ(Admitted(), 2);
+}
+
 TEST_F(RateLimitPatternTest, OtherNodesSeeASmallerServer) {
   TrainServiceTime("read", milliseconds(200));
   EXPECT_EQ(control_.load(clock_.Now()).slots, 2U);
