--- a/src/libquetzal/distribution/node_distribution.cc
+++ b/src/libquetzal/distribution/node_distribution.cc
@@ -8,7 +8,7 @@
 
 NodeDistribution::NodeDistribution(NodeIdentity identity,
                                    NodeDistributionSettings settings,
-                                   Dependencies dependencies)
+                                   const Dependencies& dependencies)
     : core_(std::make_shared<Core>(std::move(identity), std::move(settings),
                                    dependencies)) {}
 
--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -94,7 +94,7 @@
   };
 
   NodeDistribution(NodeIdentity identity, NodeDistributionSettings settings,
-                   Dependencies dependencies);
+                   const Dependencies& dependencies);
   ~NodeDistribution();
 
   NodeDistribution(const NodeDistribution&) = delete;
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -39,7 +39,7 @@
 }  // namespace
 
 NodeDistribution::Core::Core(NodeIdentity identity, NodeDistributionSettings settings,
-                             Dependencies dependencies)
+                             const Dependencies& dependencies)
     : identity_(std::move(identity)),
       settings_(std::move(settings)),
       dependencies_(dependencies),
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -25,7 +25,7 @@
     : public std::enable_shared_from_this<NodeDistribution::Core> {
  public:
   Core(NodeIdentity identity, NodeDistributionSettings settings,
-       Dependencies dependencies);
+       const Dependencies& dependencies);
 
   void Start();
   void SetBackendServer(const BackendServer& server);
