--- a/tests/calls/load_decisions_test.cc
+++ b/tests/calls/load_decisions_test.cc
@@ -281,7 +281,7 @@
     AdmissionRequest request;
     request.id = id;
     request.deadline = clock.Now() + seconds(1);
-    auto decisions = control.SetRateLimit(rate * (1 - 0.1 * (id % 2)), clock.Now());
+    auto decisions = control.SetRateLimit(id % 2 == 0 ? rate : 0.9 * rate, clock.Now());
     for (const auto& decision : control.Offer(request, clock.Now())) {
       decisions.push_back(decision);
     }
--- a/tests/calls/server_notices_test.cc
+++ b/tests/calls/server_notices_test.cc
@@ -59,7 +59,7 @@
   limited.extra_headers = {{NoticeDialect::kRateLimitField, std::to_string(kLimit)}};
   std::vector<int> runs;  // Of the limited server, after each step.
   int answered = 0;
-  const auto kStep = milliseconds(20);
+  constexpr milliseconds kStep{20};
   for (int n = 0; n < 600; ++n) {
     const auto received = cluster_.GetReport(n % 2);
     cluster_.Run(kStep);
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -10,8 +10,6 @@
 namespace quetzal {
 namespace {
 
-using std::chrono_literals::operator""ms;
-
 constexpr std::chrono::seconds kTimeout{3};
 constexpr char kAnnouncement[] =
     R"({"service":"bodega-desk","address":"127.0.0.1:9001","slots":20,"connections":130})";
@@ -62,6 +60,11 @@
   EXPECT_EQ(states_, (std::vector<ServerState>{SERVER_UP, SERVER_LEAVING}));
 }
 
+/// Start times of incarnations.
+constexpr std::chrono::milliseconds kFirstStart{100};
+constexpr std::chrono::milliseconds kSecondStart{200};
+constexpr std::chrono::milliseconds kThirdStart{300};
+
 class HeartbeatOrderTest : public BackendServerMonitorTest {
  protected:
   void SendHeartbeat(const std::string& id, std::chrono::milliseconds start_time,
@@ -80,28 +83,28 @@
 };
 
 TEST_F(HeartbeatOrderTest, ALateHeartbeatOfAFormerIncarnationChangesNothing) {
-  SendHeartbeat("i-2", 200ms, 1);
-  SendHeartbeat("i-1", 100ms, 9, true);
+  SendHeartbeat("i-2", kSecondStart, 1);
+  SendHeartbeat("i-1", kFirstStart, 9, true);
   EXPECT_EQ(monitor_.server().id, "i-2");
   EXPECT_EQ(state(), SERVER_UP);
 }
 
 TEST_F(HeartbeatOrderTest, ReorderedHeartbeatsOfALeavingIncarnation) {
-  SendHeartbeat("i-1", 100ms, 5, true);
-  SendHeartbeat("i-1", 100ms, 4);
+  SendHeartbeat("i-1", kFirstStart, 5, true);
+  SendHeartbeat("i-1", kFirstStart, 4);
   EXPECT_EQ(state(), SERVER_LEAVING);
-  SendHeartbeat("i-1", 100ms, 6);
+  SendHeartbeat("i-1", kFirstStart, 6);
   EXPECT_EQ(state(), SERVER_LEAVING) << "a leaving incarnation stays leaving";
 }
 
 TEST_F(HeartbeatOrderTest, ALaterStartWithTheSameIdIsANewIncarnation) {
-  SendHeartbeat("i-1", 100ms, 50, true);
-  SendHeartbeat("i-1", 300ms, 1);
+  SendHeartbeat("i-1", kFirstStart, 50, true);
+  SendHeartbeat("i-1", kThirdStart, 1);
   EXPECT_EQ(state(), SERVER_UP);
 }
 
 TEST_F(HeartbeatOrderTest, LeavesOfOtherIncarnationsAreIgnored) {
-  SendHeartbeat("i-2", 200ms, 1);
+  SendHeartbeat("i-2", kSecondStart, 1);
   monitor_.RecordLeave("i-1");
   EXPECT_EQ(state(), SERVER_UP);
   monitor_.RecordLeave("i-2");
@@ -111,7 +114,7 @@
 // Guards against requests to a server whose leave came before its node knew it.
 TEST_F(HeartbeatOrderTest, ALeaveBeforeTheFirstHeartbeatHolds) {
   monitor_.RecordLeave("i-1");
-  SendHeartbeat("i-1", 100ms, 19);
+  SendHeartbeat("i-1", kFirstStart, 19);
   EXPECT_EQ(state(), SERVER_LEAVING);
 }
 
@@ -127,38 +130,38 @@
 
 // Guards against a server that is used again after the restart of its node.
 TEST_F(HeartbeatOrderTest, ADepartureThatAnEarlierRunAcknowledgedHolds) {
-  monitor_.RecordFormerDeparture({"i-1", 100ms});
+  monitor_.RecordFormerDeparture({"i-1", kFirstStart});
   EXPECT_EQ(monitor_.server().departure.id, "i-1") << "known to the next run, too";
-  SendHeartbeat("i-1", 100ms, 19);
+  SendHeartbeat("i-1", kFirstStart, 19);
   EXPECT_EQ(state(), SERVER_LEAVING);
-  SendHeartbeat("i-2", 200ms, 1);
+  SendHeartbeat("i-2", kSecondStart, 1);
   EXPECT_EQ(state(), SERVER_UP);
 }
 
 // Guards against requests to a server whose answers say that it leaves.
 TEST_F(HeartbeatOrderTest, AnAnswerThatSaysThatTheServerLeavesHolds) {
-  SendHeartbeat("i-2", 200ms, 1);
+  SendHeartbeat("i-2", kSecondStart, 1);
   monitor_.RecordLeavingAnswer("i-1");
   EXPECT_EQ(state(), SERVER_UP) << "an answer of its predecessor";
   monitor_.RecordLeavingAnswer("i-2");
   EXPECT_EQ(state(), SERVER_LEAVING);
-  SendHeartbeat("i-2", 200ms, 2);
+  SendHeartbeat("i-2", kSecondStart, 2);
   EXPECT_EQ(state(), SERVER_LEAVING);
 }
 
 // Guards against a server in use that has said that it leaves, in a heartbeat that was
 // overtaken.
 TEST_F(HeartbeatOrderTest, AnOvertakenHeartbeatThatLeavesCounts) {
-  SendHeartbeat("i-1", 100ms, 6);
-  SendHeartbeat("i-1", 100ms, 5, true);
+  SendHeartbeat("i-1", kFirstStart, 6);
+  SendHeartbeat("i-1", kFirstStart, 5, true);
   EXPECT_EQ(state(), SERVER_LEAVING);
 }
 
 TEST_F(HeartbeatOrderTest, AnUnreachableServerIsDownUntilTheNextHeartbeat) {
-  SendHeartbeat("i-2", 200ms, 1);
+  SendHeartbeat("i-2", kSecondStart, 1);
   monitor_.MarkUnreachable();
   EXPECT_EQ(state(), SERVER_DOWN);
-  SendHeartbeat("i-2", 200ms, 2);
+  SendHeartbeat("i-2", kSecondStart, 2);
   EXPECT_EQ(state(), SERVER_UP);
 }
 
