Calls: a call path that ends refuses what is queued

No test had ended with queued requests before; a node's process ends then anyway. Change: the queue is refused when the call path is destroyed.

--- a/src/libquetzal/calls/call_path.cc
+++ b/src/libquetzal/calls/call_path.cc
@@ -23,7 +23,11 @@
   ServeAttemptQueries(impl_->context);
 }
 
-CallPath::~CallPath() { impl_->context->local_streams.CloseAll(); }
+CallPath::~CallPath() {
+  impl_->context->local_streams.CloseAll();
+  // Refuses what is still queued: queued calls and the context refer to each other.
+  impl_->context->admission->SetServer(AdmissionLimits());
+}
 
 StreamAcceptor CallPath::caller_acceptor() {
   return [context = impl_->context](const std::string& path, const StreamHeaders& headers,
