Fanout: the rate of admissions is a TokenBucket

Change: Fanout calls the piece; AdmitByRate, tokens_ and tokens_at_ go. Conclusion: one token bucket in the project; RetryBudgets counts requests, not time, and stays.

--- a/src/libquetzal/distribution/fanout.cc
+++ b/src/libquetzal/distribution/fanout.cc
@@ -1,6 +1,5 @@
 #include "distribution/fanout.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace quetzal {
@@ -33,8 +32,8 @@
       random_(random),
       callbacks_(std::move(callbacks)),
       history_(settings.history_bytes, settings.history_entries),
-      tokens_(settings.admission_burst),
-      tokens_at_(clock->Now()) {}
+      admissions_(settings.admissions_per_second, settings.admission_burst,
+                  settings.admission_burst, clock->Now()) {}
 
 Fanout::SessionId Fanout::Open(std::shared_ptr<MessageChannel> channel) {
   const SessionId id = next_id_++;
@@ -68,7 +67,7 @@
 }
 
 void Fanout::OnSubscribe(SessionId id, const Subscribe& subscribe) {
-  if (sessions_.size() > settings_.max_sessions || !AdmitByRate() ||
+  if (sessions_.size() > settings_.max_sessions || !admissions_.Take(clock_->Now()) ||
       BufferedBytes() > settings_.max_buffered_bytes) {
     return Refuse(id, ResultCode::kOverloaded);
   }
@@ -212,17 +211,6 @@
   session->channel->Send(bytes);
 }
 
-bool Fanout::AdmitByRate() {
-  const SteadyTime now = clock_->Now();
-  const std::chrono::duration<double> since = now - tokens_at_;
-  tokens_at_ = now;
-  tokens_ = std::min(settings_.admission_burst,
-                     tokens_ + since.count() * settings_.admissions_per_second);
-  if (tokens_ < 1) return false;
-  tokens_ -= 1;
-  return true;
-}
-
 std::size_t Fanout::BufferedBytes() const {
   std::size_t bytes = 0;
   for (const auto& [id, session] : sessions_) bytes += session.channel->buffered_bytes();
--- a/src/libquetzal/distribution/fanout.h
+++ b/src/libquetzal/distribution/fanout.h
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "base/result_code.h"
+#include "base/token_bucket.h"
 #include "distribution.pb.h"
 #include "distribution/configuration_history.h"
 #include "net/rpc.h"
@@ -103,7 +104,6 @@
   void SendTo(Session* session, const DownMessage& message);
   void SendBytes(Session* session, const std::string& bytes);
   void AskUpstream();
-  bool AdmitByRate();
   std::size_t BufferedBytes() const;
   DownMessage MakeHeartbeat() const;
 
@@ -117,8 +117,7 @@
   SessionId next_id_ = 1;
   bool quorum_backed_ = false;
   std::vector<std::string> path_;
-  double tokens_ = 0;
-  SteadyTime tokens_at_;
+  TokenBucket admissions_;
   std::uint64_t question_ = 0;
   bool asking_ = false;
   std::uint64_t bytes_sent_ = 0;
