Admission: the rate is the bucket's, and three functions admit by one

Cause: rate_ copied what rate_limit_ holds, and SetLimits and Finish wrote out what AdmitDue does. Change: TokenBucket::per_second(); SetLimits and Finish return AdmitDue(now). Conclusion: no state to keep equal.

--- a/src/libquetzal/base/token_bucket.h
+++ b/src/libquetzal/base/token_bucket.h
@@ -15,6 +15,8 @@
   /// Changes the rate and the limit of saved tokens, and keeps the saved ones.
   void SetRate(double per_second, double burst, SteadyTime now);
 
+  double per_second() const { return per_second_; }
+
   /// False if there is no whole token.
   bool Take(SteadyTime now);
 
--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -40,22 +40,19 @@
   limits_ = limits;
   const ResultCode refusal = RefusalByState();
   if (refusal != ResultCode::kOk) return RefuseQueue(refusal, now);
-  Decisions decisions;
-  AdmitQueued(now, &decisions);
-  return decisions;
+  return AdmitDue(now);
 }
 
 AdmissionControl::Decisions AdmissionControl::SetRateLimit(
     std::optional<double> per_second, SteadyTime now) {
-  rate_ = std::max(kMinRate, per_second.value_or(0));
-  const double burst = std::max(1.0, rate_ * kRateBurst.count());
   if (!per_second) {
     rate_limit_.reset();
-  } else if (rate_limit_) {
-    rate_limit_->SetRate(rate_, burst, now);
-  } else {
-    rate_limit_.emplace(rate_, burst, 0, now);
+    return AdmitDue(now);
   }
+  const double rate = std::max(kMinRate, *per_second);
+  const double burst = std::max(1.0, rate * kRateBurst.count());
+  if (!rate_limit_) rate_limit_.emplace(rate, burst, 0, now);
+  rate_limit_->SetRate(rate, burst, now);
   return AdmitDue(now);
 }
 
@@ -105,9 +102,7 @@
                                                      SteadyTime now) {
   if (outstanding_ > 0) --outstanding_;
   if (service_time > Duration::zero()) service_times_.Record(work, service_time);
-  Decisions decisions;
-  AdmitQueued(now, &decisions);
-  return decisions;
+  return AdmitDue(now);
 }
 
 bool AdmissionControl::Cancel(std::uint64_t id) {
@@ -145,7 +140,8 @@
   const std::uint32_t slots = EffectiveSlots(now);
   const Duration mean = service_times_.mean();
   if (!rate_limit_ || mean == Duration::zero()) return slots;
-  const double in_use = rate_ * std::chrono::duration<double>(mean).count();
+  const double in_use =
+      rate_limit_->per_second() * std::chrono::duration<double>(mean).count();
   return in_use < slots ? std::max(1U, static_cast<std::uint32_t>(std::ceil(in_use)))
                         : slots;
 }
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -56,7 +56,7 @@
   /// Sets the requests per second that the server takes; null: as many as come.
   Decisions SetRateLimit(std::optional<double> per_second, SteadyTime now);
 
-  /// Admits queued requests that the rate limit now allows.
+  /// Admits queued requests that the slots and the rate limit now allow.
   Decisions AdmitDue(SteadyTime now);
 
   /// Time until AdmitDue can admit a request that waits only for the rate limit; null if
@@ -109,7 +109,6 @@
 
   AdmissionLimits limits_;
   std::optional<TokenBucket> rate_limit_;
-  double rate_ = 0;  ///< Of rate_limit_, requests per second.
   SteadyTime up_since_;
   bool stopped_ = false;
   std::uint32_t outstanding_ = 0;
