Calls: one function sets the rate limit of the local server

Cause: RecordRateLimit and AdoptRateLimit took the lock, then SetRateLimit took it again, for every answer; between the two an answer could be overtaken by a limit that another node had been told. Change: SetRateLimit(limit, in_answer) decides under one lock. Conclusion: less work where each answer passes.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -98,7 +98,7 @@
   if (refusal.code != ResultCode::kOk) {
     return Refuse(refusal.code, refusal.not_run, refusal.retry_after);
   }
-  if (head_.rate_limit) context_->AdoptRateLimit(*head_.rate_limit);
+  if (head_.rate_limit) context_->SetRateLimit(head_.rate_limit, /*in_answer=*/false);
   phase_ = Phase::kQueued;
   AdmissionRequest request;
   request.idempotent = head_.idempotent;
@@ -324,7 +324,8 @@
   if (metadata.leaving && on_leaving && server.state == SERVER_UP) on_leaving(server_id_);
   // A refusal may come without the limit that answers state.
   const bool stated = metadata.rate_limit.has_value();
-  if (stated || !metadata.not_run) context_->RecordRateLimit(metadata.rate_limit);
+  if (stated || !metadata.not_run)
+    context_->SetRateLimit(metadata.rate_limit, /*in_answer=*/true);
 }
 
 void BackendCall::OnAnswerData(std::string bytes) {
--- a/src/libquetzal/calls/call_context.cc
+++ b/src/libquetzal/calls/call_context.cc
@@ -62,7 +62,7 @@
     server_ = server;
     if (replaced) server_answered_ = false;
   }
-  if (replaced) SetRateLimit(std::nullopt);
+  if (replaced) SetRateLimit(std::nullopt, /*in_answer=*/false);
   ApplyLimits();
 }
 
@@ -71,27 +71,13 @@
   return server_;
 }
 
-void CallContext::RecordRateLimit(std::optional<double> per_second) {
-  {
-    const std::lock_guard<std::mutex> lock(server_mutex_);
-    server_answered_ = true;
-  }
-  SetRateLimit(per_second);
-}
-
-void CallContext::AdoptRateLimit(double per_second) {
-  {
-    const std::lock_guard<std::mutex> lock(server_mutex_);
-    if (server_answered_) return;
-  }
-  SetRateLimit(per_second);
-}
-
-void CallContext::SetRateLimit(std::optional<double> per_second) {
+void CallContext::SetRateLimit(std::optional<double> per_second, bool in_answer) {
   std::string server_id;
   bool was_limited = false;
   {
     const std::lock_guard<std::mutex> lock(server_mutex_);
+    if (server_answered_ && !in_answer) return;
+    server_answered_ = in_answer;
     if (per_second == rate_limit_) return;
     was_limited = rate_limit_.has_value();
     rate_limit_ = per_second;
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -34,15 +34,11 @@
   void SetBackendServer(const LocalBackendServer& server);
   LocalBackendServer backend_server() const;
 
-  /// Sets the requests per second that the local backend server takes, as its answer
-  /// states it.
-  void RecordRateLimit(std::optional<double> per_second);
+  /// Sets the requests per second that the local backend server takes. What another node
+  /// was told, rather than an answer to this node, counts only until the first answer.
+  void SetRateLimit(std::optional<double> per_second, bool in_answer);
   std::optional<double> rate_limit() const;
 
-  /// Sets the limit that another node was told, unless this one has had an answer of the
-  /// server itself.
-  void AdoptRateLimit(double per_second);
-
   /// Creates a new attempt id of this node.
   std::string MakeAttemptId();
 
@@ -76,7 +72,6 @@
  private:
   void ApplyLimits();
   AdmissionLimits CurrentLimits() const;
-  void SetRateLimit(std::optional<double> per_second);
 
   const CallDialect* const dialect_;
   StreamAcceptor admitting_side_;
