Tests: the dialect of the tests reads rates as the platform's does

Cause: it parsed whole numbers by itself; ParseRate exists. Change: it calls ParseRate. Conclusion: one reading of the field.

--- a/tests/calls/notice_dialect.h
+++ b/tests/calls/notice_dialect.h
@@ -25,8 +25,7 @@
   AnswerMetadata ReadAnswer(const StreamHeaders& headers) const override {
     AnswerMetadata metadata = base_.ReadAnswer(headers);
     metadata.leaving = !HeaderValue(headers, kLeavingField).empty();
-    const auto rate = ParseNumber(HeaderValue(headers, kRateLimitField), 1000);
-    if (rate) metadata.rate_limit = static_cast<double>(*rate);
+    metadata.rate_limit = ParseRate(HeaderValue(headers, kRateLimitField));
     return metadata;
   }
   RefusalAnswer WriteRefusal(const Refusal& refusal,
