Distribution: one loop names the nodes of the fleet

Cause: RemoteMembers was LocalMembers with small variations. Change: both pass their condition to NodesWhere, which keeps what they share.

--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -278,28 +278,29 @@
   configuration_.SetTargets(std::move(targets), withdrawn);
 }
 
-std::vector<std::string> NodeDistribution::Core::LocalMembers(bool with_self,
-                                                              bool with_leaving) const {
+template <class Test>
+std::vector<std::string> NodeDistribution::Core::NodesWhere(Test test) const {
   std::vector<std::string> names;
   for (const auto& [name, entry] : membership_->table().entries()) {
     const Member& member = entry.member;
-    if (member.data_centre() != identity_.data_centre || !TakesPart(member)) continue;
-    if (member.control()) continue;
-    if (name == identity_.instance && !with_self) continue;
-    if (member.state() == MEMBER_LEAVING && !with_leaving) continue;
-    names.push_back(name);
+    if (TakesPart(member) && !member.control() && test(member)) names.push_back(name);
   }
   return names;
 }
 
+std::vector<std::string> NodeDistribution::Core::LocalMembers(bool with_self,
+                                                              bool with_leaving) const {
+  return NodesWhere([&](const Member& member) {
+    return member.data_centre() == identity_.data_centre &&
+           (with_self || member.instance() != identity_.instance) &&
+           (with_leaving || member.state() != MEMBER_LEAVING);
+  });
+}
+
 std::vector<std::string> NodeDistribution::Core::RemoteMembers() const {
-  std::vector<std::string> names;
-  for (const auto& [name, entry] : membership_->table().entries()) {
-    const Member& member = entry.member;
-    if (member.data_centre() == identity_.data_centre || !TakesPart(member)) continue;
-    if (!member.control()) names.push_back(name);
-  }
-  return names;
+  return NodesWhere([this](const Member& member) {
+    return member.data_centre() != identity_.data_centre;
+  });
 }
 
 std::vector<std::string> NodeDistribution::Core::RankedControls() const {
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -58,6 +58,9 @@
   bool WaitsForMembers() const;
   void RefreshSources();
   void RefreshStatus();
+  /// Names of the nodes that take part and for which `test` is true.
+  template <class Test>
+  std::vector<std::string> NodesWhere(Test test) const;
   std::vector<std::string> LocalMembers(bool with_self, bool with_leaving) const;
   std::vector<std::string> RemoteMembers() const;
   std::vector<std::string> RankedControls() const;
