Node: a departure that a member tells of does not replace a later one

What could be seen: found while reading the change again. A member that had missed a node's last record told it of an earlier departure; the node took that for its latest one, published it, and other members forgot the later one. After the next restart of the node a late heartbeat would have brought the server back. Cause: RecordFormerDeparture added to the end of the list, as a new departure does, also when it was known already (and then logged server.departed for a leave that this run had acknowledged itself). Change: known ones are ignored, others go before those of this run. Conclusion: fixed for one run of the node.

--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -135,10 +135,12 @@
 
 void BackendServerMonitor::RecordFormerDeparture(const BackendDeparture& departure) {
   std::lock_guard<std::mutex> lock(mutex_);
+  // Members repeat what this run has told them, or an earlier run.
+  if (departed_.Contains(departure.id, departure.last_start)) return;
   events_->Emit({"server.departed",
                  {{"server", departure.id},
                   {"last_start_ms", std::to_string(departure.last_start.count())}}});
-  departed_.Add(departure);
+  departed_.AddEarlier(departure);
   ApplyDepartureLocked();
 }
 
--- a/src/libquetzal/node/departed_servers.cc
+++ b/src/libquetzal/node/departed_servers.cc
@@ -23,6 +23,10 @@
   departures_.push_back(latest);
 }
 
+void DepartedServers::AddEarlier(const BackendDeparture& departure) {
+  if (departures_.size() < kMaxDepartures) departures_.push_front(departure);
+}
+
 bool DepartedServers::Contains(const std::string& id,
                                std::chrono::milliseconds start_time) const {
   return std::any_of(departures_.begin(), departures_.end(),
--- a/src/libquetzal/node/departed_servers.h
+++ b/src/libquetzal/node/departed_servers.h
@@ -15,9 +15,12 @@
  public:
   void Add(const BackendDeparture& departure);
 
+  /// Adds one that precedes all others.
+  void AddEarlier(const BackendDeparture& departure);
+
   bool Contains(const std::string& id, std::chrono::milliseconds start_time) const;
 
-  /// The one recorded last; without an id if there is none.
+  /// The last one; without an id if there is none.
   BackendDeparture latest() const;
 
  private:
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -138,6 +138,15 @@
   EXPECT_EQ(state(), SERVER_UP);
 }
 
+// Guards against the loss of a departure when a member tells of an earlier one.
+TEST_F(HeartbeatOrderTest, AFormerDepartureDoesNotReplaceALaterOne) {
+  SendHeartbeat("i-2", kSecondStart, 1, true);
+  monitor_.RecordFormerDeparture({"i-1", kFirstStart});
+  EXPECT_EQ(monitor_.server().departure.id, "i-2");
+  SendHeartbeat("i-1", kFirstStart, 19);
+  EXPECT_EQ(monitor_.server().id, "i-2");
+}
+
 // Guards against requests to a server whose answers say that it leaves.
 TEST_F(HeartbeatOrderTest, AnAnswerThatSaysThatTheServerLeavesHolds) {
   SendHeartbeat("i-2", kSecondStart, 1);
