--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -73,8 +73,8 @@
     Random* random = nullptr;  ///< Used on the executor only.
     EventLog* events = nullptr;
 
-    /// Called on the executor with a departure that an earlier incarnation of this node
-    /// published; may be null.
+    /// Called on the executor with a departure that this node, or an earlier incarnation
+    /// of it, published; the same one may be repeated. May be null.
     std::function<void(const ServerDeparture&)> on_former_departure;
   };
 
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -208,12 +208,10 @@
 void NodeDistribution::Core::RunMembership() {
   membership_link_->Run();
   incarnation_ = membership_->incarnation();
-  const ServerDeparture& departure = membership_->former_departure();
-  const bool same = departure.id() == former_departure_.id() &&
-                    departure.last_start_ms() == former_departure_.last_start_ms();
-  if (same) return;
-  former_departure_ = departure;
-  if (dependencies_.on_former_departure) dependencies_.on_former_departure(departure);
+  const auto departure = membership_->TakeFormerDeparture();
+  if (departure && dependencies_.on_former_departure) {
+    dependencies_.on_former_departure(*departure);
+  }
 }
 
 void NodeDistribution::Core::OnMembershipChanged() {
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -102,7 +102,6 @@
   std::map<std::string, MemberState> reported_states_;
   std::uint64_t seen_revision_ = 0;
   std::uint64_t seen_false_death_reports_ = 0;
-  ServerDeparture former_departure_;  ///< Last one passed to on_former_departure.
   bool has_sources_ = false;
   bool starting_ = true;  ///< No configuration yet; control instances are preferred.
   bool relay_ = false;
--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -293,6 +293,10 @@
   }
 }
 
+std::optional<ServerDeparture> Membership::TakeFormerDeparture() {
+  return std::exchange(former_departure_, std::nullopt);
+}
+
 std::vector<MembershipAction> Membership::TakeActions() {
   return std::exchange(actions_, {});
 }
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -52,7 +52,8 @@
   /// Records that an answer of the server process `id` says that it leaves.
   void RecordLeavingAnswer(const std::string& id);
 
-  /// Records a departure that an earlier run of this node acknowledged.
+  /// Records a departure that an earlier run of this node acknowledged, unless it is
+  /// known already.
   void RecordFormerDeparture(const BackendDeparture& departure);
 
   /// Marks the server as leaving, so that it gets no new requests.
