Node: the requests that ran on a server when it ended are logged

No line told which requests ran on a server that ended, so that a request that crashes servers and a server that ends under load looked the same. The node beside the server now connects the connections that it closed with its end: a refused connection, or a successor without a leave. A closed connection alone (a lost or spoilt answer) is no crash.

server.crashed has a hash of each request; quetzal_backend_crashes_total counts them.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -230,6 +230,7 @@
 void BackendCall::OnBodyData(std::string bytes) {
   if (phase_ == Phase::kEnded) return;
   peer_credit_ += bytes.size();
+  identified_body_.append(bytes, 0, kFingerprintBodyBytes - identified_body_.size());
   if (!backend_) {
     body_.push_back(std::move(bytes));
     if (phase_ == Phase::kGranted) SendRequest();
@@ -369,6 +370,7 @@
   if (phase_ != Phase::kSent && phase_ != Phase::kAnswering) return;
   const bool answering = phase_ == Phase::kAnswering;
   const bool not_sent = code == ResultCode::kConnectFailed;
+  if (!not_sent && code != ResultCode::kTimeout) ReportCut();
   EndAttempt(not_sent ? AttemptState::kNotRun : AttemptState::kUnknown);
   ReleaseSlot(false);
   reached_server_ = !not_sent;
@@ -385,6 +387,14 @@
   EndCall();
 }
 
+void BackendCall::ReportCut() {
+  const bool identified = body_ended_ || identified_body_.size() >= kFingerprintBodyBytes;
+  if (!identified || !context_->deps.on_request_cut) return;
+  RequestIdentity identity(head_.method, head_.host, head_.path, fields_);
+  identity.AppendBody(identified_body_);
+  context_->deps.on_request_cut({server_id_, identity.Fingerprint(), sent_at_});
+}
+
 void BackendCall::OnOutcomeTimeout() {
   if (phase_ == Phase::kEnded) return;
   if (backend_) backend_->Reset();
--- a/src/libquetzal/calls/backend_call.h
+++ b/src/libquetzal/calls/backend_call.h
@@ -65,6 +65,8 @@
   void KeepAnswer(const std::string& bytes);
 
   void OnOutcomeTimeout();
+  /// Reports a request that the server has begun to run, if its whole identity is known.
+  void ReportCut();
   /// Handles a response that is not an answer to this request: a refusal by the server,
   /// or the answer to another request. False for an answer.
   bool HandleNonAnswer(const AnswerMetadata& metadata);
@@ -93,6 +95,7 @@
   std::string server_id_;  ///< Of the server process that the request was sent to.
 
   std::vector<std::string> body_;  ///< Received before a slot was free.
+  std::string identified_body_;    ///< The part that counts for the fingerprint.
   bool body_ended_ = false;
   std::size_t peer_credit_ = 0;  ///< Withheld until the backend server reads.
 
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/random.h"
+#include "calls/request_fingerprint.h"
 #include "calls/routing_snapshot.h"
 #include "kernel/executor.h"
 #include "net/rpc.h"
@@ -47,6 +48,13 @@
   std::uint32_t retry_percent = 0;  ///< With a shared burst: retries per 100 requests.
 };
 
+/// A request whose connection the local backend server closed before the answer's end.
+struct CutRequest {
+  std::string server_id;  ///< Process that the request was sent to.
+  RequestFingerprint request;
+  SteadyTime sent_at;
+};
+
 /// Dependencies of a CallPath; all of them must outlive it.
 struct CallDependencies {
   RoutingSource* routing = nullptr;
@@ -67,6 +75,10 @@
   /// Called with the id of the local backend server when an answer of it says that it
   /// leaves; may be null.
   std::function<void(const std::string& server_id)> on_backend_leaving;
+
+  /// Called when the local backend server closed the connection of a request before the
+  /// answer's end; may be null.
+  std::function<void(const CutRequest& cut)> on_request_cut;
 };
 
 /// A backend server that leaves or has left.
--- /dev/null
+++ b/src/libquetzal/calls/crash_report.h
@@ -0,0 +1,20 @@
+#ifndef QUETZAL_CALLS_CRASH_REPORT_H_
+#define QUETZAL_CALLS_CRASH_REPORT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "calls/request_fingerprint.h"
+
+namespace quetzal {
+
+/// The end of a backend server that did not say that it leaves, as its node observed it.
+struct CrashReport {
+  std::uint64_t id = 0;  ///< Unique in the fleet.
+  /// Requests that ran when the server ended. At least one of them may have caused it.
+  std::vector<RequestFingerprint> requests;
+};
+
+}  // namespace quetzal
+
+#endif  // QUETZAL_CALLS_CRASH_REPORT_H_
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -68,7 +68,11 @@
 
 BackendServerMonitor::BackendServerMonitor(Duration timeout, const Clock* clock,
                                            EventLog* events, Observer observer)
-    : timeout_(timeout), clock_(clock), events_(events), observer_(std::move(observer)) {}
+    : timeout_(timeout),
+      clock_(clock),
+      events_(events),
+      observer_(std::move(observer)),
+      crash_detector_(clock) {}
 
 void BackendServerMonitor::Announce(const std::string& json) {
   LocalBackendServer server = ParseAnnouncement(json);
@@ -100,6 +104,10 @@
   } else if (heartbeat.leaving && !departed) {
     EmitHeartbeat(heartbeat, "leaving");
   }
+  // A server that leaves may close connections when it ends as planned.
+  if (!same_incarnation && server_.state != SERVER_LEAVING) {
+    crash_detector_.RecordEnd(heartbeat_.id);
+  }
   heartbeat_ = heartbeat;
   last_contact_at_ = clock_->Now();
   LocalBackendServer server;
@@ -152,6 +160,11 @@
   SetServerLocked(std::move(server));
 }
 
+void BackendServerMonitor::RecordCut(const CutRequest& cut) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  crash_detector_.RecordCut(cut);
+}
+
 void BackendServerMonitor::MarkLeaving() {
   std::lock_guard<std::mutex> lock(mutex_);
   if (server_.state == SERVER_NONE) return;
@@ -162,6 +175,7 @@
 
 void BackendServerMonitor::Tick() {
   std::lock_guard<std::mutex> lock(mutex_);
+  ReportCrashLocked();
   if (server_.state == SERVER_NONE || server_.state == SERVER_DOWN) return;
   if (clock_->Now() - last_contact_at_ < timeout_) return;
   LocalBackendServer server = server_;
@@ -172,11 +186,27 @@
 void BackendServerMonitor::MarkUnreachable() {
   std::lock_guard<std::mutex> lock(mutex_);
   if (server_.state != SERVER_UP) return;
+  crash_detector_.RecordEnd(server_.id);
   LocalBackendServer server = server_;
   server.state = SERVER_DOWN;
   SetServerLocked(std::move(server));
 }
 
+void BackendServerMonitor::ReportCrashLocked() {
+  const auto crash = crash_detector_.TakeCrash();
+  if (!crash) return;
+  ++crashes_;
+  std::string requests;
+  for (const RequestFingerprint& request : crash->requests) {
+    if (!requests.empty()) requests += ',';
+    requests += ToString(request);
+  }
+  events_->Emit({"server.crashed",
+                 {{"server", crash_detector_.crashed_server()},
+                  {"running", std::to_string(crash->requests.size())},
+                  {"requests", requests}}});
+}
+
 void BackendServerMonitor::Stop() {
   MarkLeaving();
   std::lock_guard<std::mutex> lock(mutex_);
@@ -188,6 +218,11 @@
   return server_;
 }
 
+std::uint64_t BackendServerMonitor::crashes() const {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return crashes_;
+}
+
 void BackendServerMonitor::SetServerLocked(LocalBackendServer server) {
   server.departure = departed_.latest();
   if (Same(server, server_)) return;
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -10,6 +10,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "calls/call_path.h"
+#include "node/crash_detector.h"
 #include "node/departed_servers.h"
 
 namespace quetzal {
@@ -56,6 +57,8 @@
   /// known already.
   void RecordFormerDeparture(const BackendDeparture& departure);
 
+  void RecordCut(const CutRequest& cut);
+
   /// Marks the server as leaving, so that it gets no new requests.
   void MarkLeaving();
 
@@ -64,7 +67,7 @@
   void MarkUnreachable();
 
   /// Marks the server as down once announcements and heartbeats have stopped for the
-  /// timeout. Call regularly.
+  /// timeout, and reports crashes. Call regularly.
   void Tick();
 
   /// Marks the server as leaving for good, since the node stops; later announcements are
@@ -73,10 +76,14 @@
 
   LocalBackendServer server() const;
 
+  /// Crashes of backend servers while requests ran on them.
+  std::uint64_t crashes() const;
+
  private:
   void SetServerLocked(LocalBackendServer server);
   /// Marks the server as leaving if its incarnation is among departed_.
   void ApplyDepartureLocked();
+  void ReportCrashLocked();
   void EmitHeartbeat(const ServerHeartbeat& heartbeat, const char* outcome);
 
   const Duration timeout_;
@@ -88,6 +95,8 @@
   SteadyTime last_contact_at_;
   ServerHeartbeat heartbeat_;  ///< The latest; its id is empty before the first one.
   DepartedServers departed_;
+  CrashDetector crash_detector_;
+  std::uint64_t crashes_ = 0;
   bool stopped_ = false;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -197,6 +197,9 @@
     node_executor_->Post(
         [this, server_id] { backend_monitor_->RecordLeavingAnswer(server_id); });
   };
+  calls.on_request_cut = [this](const CutRequest& cut) {
+    node_executor_->Post([this, cut] { backend_monitor_->RecordCut(cut); });
+  };
   CallOptions options;
   options.instance = instance_;
   options.data_centre = data_centre_;
@@ -305,6 +308,7 @@
   report.distribution = distribution_->status();
   report.members = distribution_->members();
   report.server = backend_monitor_->server();
+  report.crashes = backend_monitor_->crashes();
   report.calls = calls_->counts();
   report.key_records = key_holder_->record_count();
   report.key_bytes = key_holder_->record_bytes();
--- a/src/node/node_admin.h
+++ b/src/node/node_admin.h
@@ -22,6 +22,7 @@
   NodeDistribution::Status distribution;
   std::vector<Member> members;
   LocalBackendServer server;
+  std::uint64_t crashes = 0;  ///< Of the backend server while requests ran on it.
   CallCounts calls;
   std::size_t key_records = 0;
   std::size_t key_bytes = 0;
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -33,6 +33,8 @@
       {"quetzal_backend_rate_limit",
        "Requests per second that the backend server takes; -1 without a limit.",
        MetricKind::kGauge, calls.rate_limit.value_or(-1)},
+      Counter("quetzal_backend_crashes_total",
+              "Ends of the backend server while requests ran on it.", report.crashes),
       Gauge("quetzal_configuration_held_index", "Log index of the applied configuration.",
             distribution.applied_version.index()),
       Gauge("quetzal_configuration_serving", "1 while the node serves callers.",
