--- a/tests/calls/sim_cluster.cc
+++ b/tests/calls/sim_cluster.cc
@@ -19,8 +19,8 @@
 class FakeBackendServer::Handler final : public StreamHandler,
                                          public std::enable_shared_from_this<Handler> {
  public:
-  Handler(FakeBackendServer* server, std::shared_ptr<Stream> stream)
-      : server_(server), stream_(std::move(stream)) {}
+  Handler(FakeBackendServer* server, std::string path, std::shared_ptr<Stream> stream)
+      : server_(server), path_(std::move(path)), stream_(std::move(stream)) {}
 
   void OnHeaders(StreamHeaders /*headers*/) override {}
   void OnData(std::string_view bytes) override {
@@ -30,6 +30,7 @@
   void OnEnd() override {
     ++server_->runs_[body_];
     server_->max_running = std::max(server_->max_running, ++server_->running);
+    if (server_->on_run) server_->on_run(path_, body_);
     const Behaviour behaviour = server_->behaviour;
     if (behaviour == Behaviour::kHang) return;
     const bool slow = behaviour == Behaviour::kSlow;
@@ -71,6 +72,7 @@
   }
 
   FakeBackendServer* server_;
+  const std::string path_;
   std::shared_ptr<Stream> stream_;
   std::string body_;
   bool finished_ = false;
@@ -78,11 +80,12 @@
 
 FakeBackendServer::FakeBackendServer(SimNet* net, const Endpoint& endpoint)
     : net_(net), transport_(net, endpoint.address, std::make_shared<bool>(true)) {
-  transport_.Listen(endpoint, [this](const std::string&, const StreamHeaders& headers,
-                                     std::shared_ptr<Stream> stream) {
-    last_headers = headers;
-    return std::make_shared<Handler>(this, std::move(stream));
-  });
+  transport_.Listen(endpoint,
+                    [this](const std::string& path, const StreamHeaders& headers,
+                           std::shared_ptr<Stream> stream) {
+                      last_headers = headers;
+                      return std::make_shared<Handler>(this, path, std::move(stream));
+                    });
 }
 
 int FakeBackendServer::runs(const std::string& body) const {
@@ -232,6 +235,12 @@
   deps.on_backend_leaving = [this, n](const std::string& /*server_id*/) {
     SetState(n, SERVER_LEAVING);
   };
+  deps.on_request_cut = [this, n](const CutRequest& cut) {
+    if (on_request_cut) on_request_cut(n, cut);
+  };
+  deps.on_backend_unreachable = [this, n] {
+    if (on_backend_unreachable) on_backend_unreachable(n);
+  };
   CallOptions options;
   options.instance = node->name;
   options.data_centre = node->data_centre;
--- a/tests/calls/sim_cluster.h
+++ b/tests/calls/sim_cluster.h
@@ -1,6 +1,7 @@
 #ifndef QUETZAL_TESTS_CALLS_SIM_CLUSTER_H_
 #define QUETZAL_TESTS_CALLS_SIM_CLUSTER_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -75,6 +76,8 @@
   int max_running = 0;  ///< Highest value of `running` so far.
   int cancelled = 0;    ///< Requests reset while running.
   StreamHeaders last_headers;
+  /// Called for each request that it begins to run; may be null.
+  std::function<void(const std::string& path, const std::string& body)> on_run;
 
  private:
   class Handler;
@@ -171,6 +174,11 @@
     return Send(node, "POST", "/orders", key, body);
   }
 
+  /// Ends the node's backend server and the connections to it.
+  void EndServer(std::size_t node) { net.Kill(nodes[node].backend.address); }
+  /// Lets the node's backend server accept connections again.
+  void StartServer(std::size_t node) { net.down.erase(nodes[node].backend.address); }
+
   void Kill(std::size_t node);
   /// Replaces the process of the node by a new one with empty memory.
   void Restart(std::size_t node);
@@ -193,6 +201,9 @@
   std::vector<std::unique_ptr<FakeBackendServer>> servers;
   std::vector<ServerState> states;
   FakeRouting routing;
+  /// In place of the node's monitor of its backend server; may be null.
+  std::function<void(std::size_t node, const CutRequest& cut)> on_request_cut;
+  std::function<void(std::size_t node)> on_backend_unreachable;
 
  private:
   void Start(SimNode* node);
