Membership: what a node observes of its server is one message

A node tells the fleet and its own successor of a server's departure by a field of its member record.

While nodes of this build and the one before run side by side, a node that restarts is not told of a departure by nodes of the other build.

--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -81,13 +81,6 @@
   std::function<void(const CutRequest& cut)> on_request_cut;
 };
 
-/// A backend server that leaves or has left.
-struct BackendDeparture {
-  std::string id;
-  /// Covers its incarnations that started at this wall time (since 1970) or earlier.
-  std::chrono::milliseconds last_start{};
-};
-
 /// The backend server of this node, as the server announced itself.
 struct LocalBackendServer {
   std::string service;
@@ -95,8 +88,8 @@
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
   ServerState state = SERVER_NONE;
-  std::string id;              ///< Of the server process; empty when it announces none.
-  BackendDeparture departure;  ///< The last one that the node knows; may be another's.
+  std::string id;  ///< Of the server process; empty when it announces none.
+  ServerObservations observations;  ///< Of this and earlier servers of the node.
 };
 
 /// Counts since the start, for the metrics of a node.
--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -73,9 +73,9 @@
     Random* random = nullptr;  ///< Used on the executor only.
     EventLog* events = nullptr;
 
-    /// Called on the executor with a departure that this node, or an earlier incarnation
-    /// of it, published; the same one may be repeated. May be null.
-    std::function<void(const ServerDeparture&)> on_former_departure;
+    /// Called on the executor with observations that this node, or an earlier incarnation
+    /// of it, published; the same ones may be repeated. May be null.
+    std::function<void(const ServerObservations&)> on_former_observations;
   };
 
   /// State of a node as it sees itself.
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -208,9 +208,9 @@
 void NodeDistribution::Core::RunMembership() {
   membership_link_->Run();
   incarnation_ = membership_->incarnation();
-  const auto departure = membership_->TakeFormerDeparture();
-  if (departure && dependencies_.on_former_departure) {
-    dependencies_.on_former_departure(*departure);
+  const auto observations = membership_->TakeFormerObservations();
+  if (observations && dependencies_.on_former_observations) {
+    dependencies_.on_former_observations(*observations);
   }
 }
 
--- a/src/libquetzal/membership/member_table.cc
+++ b/src/libquetzal/membership/member_table.cc
@@ -37,7 +37,7 @@
   auto it = entries_.find(update.instance());
   if (it == entries_.end()) {
     if (IsThirdPartyReport(update)) return false;
-    Entry entry{update, update.state(), now, update.server().departure()};
+    Entry entry{update, update.state(), now};
     buckets_[BucketOf(update.instance())] ^= HashOf(entry);
     entries_.emplace(update.instance(), std::move(entry));
     return true;
@@ -56,9 +56,13 @@
     entry.member.set_sequence(update.sequence());
     entry.member.set_state(update.state());
   } else {
+    ServerObservations former;
+    former.Swap(entry.member.mutable_server()->mutable_observations());
     entry.member = update;
-    // An instance that has just started publishes none until it learns it from others.
-    if (update.server().has_departure()) entry.departure = update.server().departure();
+    // An instance that has just started publishes none until it learns them from others.
+    if (!update.server().has_observations() && former.ByteSizeLong() > 0) {
+      entry.member.mutable_server()->mutable_observations()->Swap(&former);
+    }
   }
   if (update.state() != MEMBER_SUSPECT) entry.own_state = update.state();
   if (update.state() == MEMBER_SUSPECT && !same_record) entry.own_state = MEMBER_ALIVE;
--- a/src/libquetzal/membership/member_table.h
+++ b/src/libquetzal/membership/member_table.h
@@ -22,7 +22,6 @@
     Member member;
     MemberState own_state = MEMBER_ALIVE;  ///< From the instance's own record.
     SteadyTime changed;                    ///< When this record was merged.
-    ServerDeparture departure;  ///< Last one published, also by an earlier incarnation.
   };
 
   /// Merges a record or a third-party report (suspect, dead). Returns true when it
--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -118,8 +118,9 @@
   const MemberTable::Entry* requester = table_.Find(received.sender());
   if (requester != nullptr) {
     answer.set_heard_incarnation(requester->member.incarnation());
-    const ServerDeparture& departure = requester->departure;
-    if (!departure.id().empty()) *answer.mutable_departure() = departure;
+    if (requester->member.server().has_observations()) {
+      *answer.mutable_observations() = requester->member.server().observations();
+    }
   }
   known_ = LaterOf(known_, received.known());
   const bool disseminate =
@@ -146,7 +147,7 @@
   TableExchange answer;
   if (!answer.ParseFromString(reply)) return;
   known_ = LaterOf(known_, answer.known());
-  if (answer.has_departure()) former_departure_ = answer.departure();
+  if (answer.has_observations()) former_observations_ = answer.observations();
   // The peer knows a higher incarnation of this name: Refute() exceeds it, or sets
   // identity_taken_over_.
   if (answer.heard_incarnation() > self_.incarnation()) {
@@ -293,8 +294,8 @@
   }
 }
 
-std::optional<ServerDeparture> Membership::TakeFormerDeparture() {
-  return std::exchange(former_departure_, std::nullopt);
+std::optional<ServerObservations> Membership::TakeFormerObservations() {
+  return std::exchange(former_observations_, std::nullopt);
 }
 
 std::vector<MembershipAction> Membership::TakeActions() {
--- a/src/libquetzal/membership/membership.h
+++ b/src/libquetzal/membership/membership.h
@@ -102,10 +102,9 @@
   /// Number of times that this instance learned that others had declared it dead.
   std::uint64_t false_death_reports() const { return false_death_reports_; }
 
-  /// Returns the departure of a backend server that this instance, or an earlier
-  /// incarnation of it, published as a peer knows it; null if no peer has told one since
-  /// the last call.
-  std::optional<ServerDeparture> TakeFormerDeparture();
+  /// Returns the observations that this instance, or an earlier incarnation of it,
+  /// published as a peer knows them; null if no peer has told any since the last call.
+  std::optional<ServerObservations> TakeFormerObservations();
 
   /// True once at least one exchange with a peer has completed.
   bool joined() const { return joined_; }
@@ -176,7 +175,7 @@
   std::vector<std::string> probe_order_;
   std::map<std::string, SteadyTime> suspicions_;
   std::map<std::string, Version> applied_versions_;
-  std::optional<ServerDeparture> former_departure_;
+  std::optional<ServerObservations> former_observations_;
   std::vector<MembershipAction> actions_;
   Version applied_version_;
   Version known_;
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -60,8 +60,7 @@
 bool Same(const LocalBackendServer& a, const LocalBackendServer& b) {
   return a.service == b.service && a.address == b.address && a.slots == b.slots &&
          a.connections == b.connections && a.state == b.state && a.id == b.id &&
-         a.departure.id == b.departure.id &&
-         a.departure.last_start == b.departure.last_start;
+         a.observations.SerializeAsString() == b.observations.SerializeAsString();
 }
 
 }  // namespace
@@ -141,8 +140,17 @@
   ApplyDepartureLocked();
 }
 
-void BackendServerMonitor::RecordFormerDeparture(const BackendDeparture& departure) {
+void BackendServerMonitor::RecordFormerObservations(
+    const ServerObservations& observations) {
   std::lock_guard<std::mutex> lock(mutex_);
+  if (!observations.has_departure()) return;
+  const ServerDeparture& departure = observations.departure();
+  RecordFormerDepartureLocked(
+      {departure.id(), std::chrono::milliseconds(departure.last_start_ms())});
+}
+
+void BackendServerMonitor::RecordFormerDepartureLocked(
+    const BackendDeparture& departure) {
   // Members repeat what this run has told them, or an earlier run.
   if (departed_.Contains(departure.id, departure.last_start)) return;
   events_->Emit({"server.departed",
@@ -223,8 +231,17 @@
   return crashes_;
 }
 
+ServerObservations BackendServerMonitor::ObservationsLocked() const {
+  ServerObservations observations;
+  const BackendDeparture departure = departed_.latest();
+  if (departure.id.empty()) return observations;
+  observations.mutable_departure()->set_id(departure.id);
+  observations.mutable_departure()->set_last_start_ms(departure.last_start.count());
+  return observations;
+}
+
 void BackendServerMonitor::SetServerLocked(LocalBackendServer server) {
-  server.departure = departed_.latest();
+  server.observations = ObservationsLocked();
   if (Same(server, server_)) return;
   server_ = std::move(server);
   observer_(server_);
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -53,9 +53,8 @@
   /// Records that an answer of the server process `id` says that it leaves.
   void RecordLeavingAnswer(const std::string& id);
 
-  /// Records a departure that an earlier run of this node acknowledged, unless it is
-  /// known already.
-  void RecordFormerDeparture(const BackendDeparture& departure);
+  /// Adds what an earlier run of this node observed, unless it is known already.
+  void RecordFormerObservations(const ServerObservations& observations);
 
   void RecordCut(const CutRequest& cut);
 
@@ -81,6 +80,8 @@
 
  private:
   void SetServerLocked(LocalBackendServer server);
+  ServerObservations ObservationsLocked() const;
+  void RecordFormerDepartureLocked(const BackendDeparture& departure);
   /// Marks the server as leaving if its incarnation is among departed_.
   void ApplyDepartureLocked();
   void ReportCrashLocked();
--- a/src/libquetzal/node/departed_servers.h
+++ b/src/libquetzal/node/departed_servers.h
@@ -5,10 +5,15 @@
 #include <deque>
 #include <string>
 
-#include "calls/call_path.h"
-
 namespace quetzal {
 
+/// A backend server that leaves or has left.
+struct BackendDeparture {
+  std::string id;
+  /// Covers its incarnations that started at this wall time (since 1970) or earlier.
+  std::chrono::milliseconds last_start{};
+};
+
 /// Incarnations of backend servers that are leaving or have left, also those that no
 /// heartbeat has named yet. Bounded; the oldest entries are dropped. Not thread-safe.
 class DepartedServers {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -156,10 +156,9 @@
   distribution_dependencies.clock = clock_;
   distribution_dependencies.random = &distribution_random_;
   distribution_dependencies.events = events_;
-  distribution_dependencies.on_former_departure =
-      [this](const ServerDeparture& departure) {
-        backend_monitor_->RecordFormerDeparture(
-            {departure.id(), std::chrono::milliseconds(departure.last_start_ms())});
+  distribution_dependencies.on_former_observations =
+      [this](const ServerObservations& observations) {
+        backend_monitor_->RecordFormerObservations(observations);
       };
   distribution_ = std::make_unique<NodeDistribution>(
       NodeIdentity{instance_, data_centre_, incarnation_, settings.Address("gossip"),
@@ -267,9 +266,8 @@
   announced.set_slots(server.slots);
   announced.set_connections(server.connections);
   announced.set_state(server.state);
-  if (!server.departure.id.empty()) {
-    announced.mutable_departure()->set_id(server.departure.id);
-    announced.mutable_departure()->set_last_start_ms(server.departure.last_start.count());
+  if (server.observations.ByteSizeLong() > 0) {
+    *announced.mutable_observations() = server.observations;
   }
   distribution_->SetBackendServer(announced);
 }
--- a/tests/distribution/join_test.cc
+++ b/tests/distribution/join_test.cc
@@ -50,18 +50,19 @@
   BackendServer server;
   server.set_service("desk");
   server.set_state(SERVER_LEAVING);
-  server.mutable_departure()->set_id("i-1");
-  server.mutable_departure()->set_last_start_ms(100);
+  ServerDeparture* departure = server.mutable_observations()->mutable_departure();
+  departure->set_id("i-1");
+  departure->set_last_start_ms(100);
   restarted_->distribution->SetBackendServer(server);
   fleet_.world.Run(seconds(2));
   for (int restart = 0; restart < 2; ++restart) {
     fleet_.Crash(restarted_);
-    restarted_->former_departures.clear();
+    restarted_->former.clear();
     fleet_.StartNode(restarted_);
     while (!Joined()) fleet_.world.Run(milliseconds(10));
-    ASSERT_EQ(restarted_->former_departures.size(), 1u);
-    EXPECT_EQ(restarted_->former_departures[0].id(), "i-1");
-    EXPECT_EQ(restarted_->former_departures[0].last_start_ms(), 100);
+    ASSERT_EQ(restarted_->former.size(), 1u);
+    EXPECT_EQ(restarted_->former[0].departure().id(), "i-1");
+    EXPECT_EQ(restarted_->former[0].departure().last_start_ms(), 100);
   }
 }
 
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -67,6 +67,13 @@
 
 class HeartbeatOrderTest : public BackendServerMonitorTest {
  protected:
+  void RecordFormerDeparture(const std::string& id,
+                             std::chrono::milliseconds last_start) {
+    ServerObservations former;
+    former.mutable_departure()->set_id(id);
+    former.mutable_departure()->set_last_start_ms(last_start.count());
+    monitor_.RecordFormerObservations(former);
+  }
   void SendHeartbeat(const std::string& id, std::chrono::milliseconds start_time,
                      std::uint64_t sequence, bool leaving = false) {
     ServerHeartbeat heartbeat;
@@ -130,8 +137,9 @@
 
 // Guards against a server that is used again after the restart of its node.
 TEST_F(HeartbeatOrderTest, ADepartureThatAnEarlierRunAcknowledgedHolds) {
-  monitor_.RecordFormerDeparture({"i-1", kFirstStart});
-  EXPECT_EQ(monitor_.server().departure.id, "i-1") << "known to the next run, too";
+  RecordFormerDeparture("i-1", kFirstStart);
+  EXPECT_EQ(monitor_.server().observations.departure().id(), "i-1")
+      << "known to the next run, too";
   SendHeartbeat("i-1", kFirstStart, 19);
   EXPECT_EQ(state(), SERVER_LEAVING);
   SendHeartbeat("i-2", kSecondStart, 1);
@@ -141,8 +149,8 @@
 // Guards against the loss of a departure when a member tells of an earlier one.
 TEST_F(HeartbeatOrderTest, AFormerDepartureDoesNotReplaceALaterOne) {
   SendHeartbeat("i-2", kSecondStart, 1, true);
-  monitor_.RecordFormerDeparture({"i-1", kFirstStart});
-  EXPECT_EQ(monitor_.server().departure.id, "i-2");
+  RecordFormerDeparture("i-1", kFirstStart);
+  EXPECT_EQ(monitor_.server().observations.departure().id(), "i-2");
   SendHeartbeat("i-1", kFirstStart, 19);
   EXPECT_EQ(monitor_.server().id, "i-2");
 }
--- a/tests/simulation/sim_fleet.h
+++ b/tests/simulation/sim_fleet.h
@@ -33,7 +33,7 @@
     std::string service;
     bool announces_up = false;   ///< Its backend server is announced as SERVER_UP.
     bool left_for_good = false;  ///< It left and is not started again.
-    std::vector<ServerDeparture> former_departures;  ///< Learned from other members.
+    std::vector<ServerObservations> former;  ///< Learned from other members.
   };
   struct Control {
     Host* host = nullptr;
@@ -112,8 +112,8 @@
     dependencies.clock = &world.clock;
     dependencies.random = &parts->random;
     dependencies.events = &parts->events;
-    dependencies.on_former_departure = [node](const ServerDeparture& departure) {
-      node->former_departures.push_back(departure);
+    dependencies.on_former_observations = [node](const ServerObservations& former) {
+      node->former.push_back(former);
     };
     node->distribution =
         std::make_unique<NodeDistribution>(identity, settings, dependencies);
