Calls: a request that crashes its servers is shut out by the whole fleet

No process connected the end of a server with the requests that ran on it; a cut was one lost answer, the request was sent on, and each copy of it was new everywhere. The class: what one process learns about a server or a request is unknown to the fleet and to the process's successor.

Change: the node beside the server, the only one that can tell a crash from a cut, a planned stop or a lost answer, publishes each crash with the fingerprints of the requests that ran (ServerObservations, with the departure: the same way, bounds and hand-over). Every node concludes by itself, from the same reports, which requests are the causes: three crashes, or two with nothing else in both; a crash with a known cause clears what ran beside it. Both nodes of a call ask before it is sent: the coordinating node at once, the admitting node for those that waited. A body is waited for only if head, host, path and credentials are those of a known cause. The answer is final (400, not run, ten minutes), as usual clients repeat 502 and 503. One call loses two servers at most.

--- a/src/libquetzal/base/result_code.cc
+++ b/src/libquetzal/base/result_code.cc
@@ -87,6 +87,8 @@
        "No connection to the backend server could be made."},
       {C::kHopLimit, "hop_limit", 508, true, "The request passed too many nodes."},
       {C::kLoop, "loop", 508, true, "The request came back to the same service."},
+      {C::kRequestCrashesServers, "request_crashes_servers", 400, true,
+       "The backend servers that ran this request have ended; it is not sent again."},
       {C::kNodeStarting, "node_starting", 503, true,
        "The node has not applied a current configuration yet."},
       {C::kNodeStopping, "node_stopping", 503, true, "The node is stopping."},
--- a/src/libquetzal/base/result_code.h
+++ b/src/libquetzal/base/result_code.h
@@ -67,6 +67,7 @@
   kConnectFailed = 5021,
   kHopLimit = 5022,
   kLoop = 5023,
+  kRequestCrashesServers = 5024,
   kNodeStarting = 5030,
   kNodeStopping = 5031,
 
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -174,6 +174,16 @@
 }
 
 void BackendCall::SendRequest() {
+  // The coordinating node may not have heard of the last crash when it sent the request.
+  switch (JudgeCrash()) {
+    case CrashVerdict::kUndecided:
+      phase_ = Phase::kGranted;
+      return;
+    case CrashVerdict::kCrashes:
+      return Refuse(ResultCode::kRequestCrashesServers, true, kCrashRetention);
+    case CrashVerdict::kHarmless:
+      break;
+  }
   timer_.reset();
   sent_at_ = context_->Now();
   if (head_.expects_continue && sent_at_ >= deadline_) {
@@ -263,6 +273,7 @@
     return EndCall();
   }
   if (phase_ == Phase::kGranted) {
+    EndAttempt(AttemptState::kNotRun);
     ReleaseSlot(false);
     return EndCall();
   }
@@ -390,9 +401,19 @@
 void BackendCall::ReportCut() {
   const bool identified = body_ended_ || identified_body_.size() >= kFingerprintBodyBytes;
   if (!identified || !context_->deps.on_request_cut) return;
+  context_->deps.on_request_cut({server_id_, Identity().Fingerprint(), sent_at_});
+}
+
+RequestIdentity BackendCall::Identity() const {
   RequestIdentity identity(head_.method, head_.host, head_.path, fields_);
   identity.AppendBody(identified_body_);
-  context_->deps.on_request_cut({server_id_, identity.Fingerprint(), sent_at_});
+  return identity;
+}
+
+CrashVerdict BackendCall::JudgeCrash() const {
+  const auto matcher = context_->matcher();
+  if (!matcher || !matcher->snapshot().crashing) return CrashVerdict::kHarmless;
+  return matcher->snapshot().crashing->Judge(Identity(), body_ended_);
 }
 
 void BackendCall::OnOutcomeTimeout() {
--- a/src/libquetzal/calls/backend_call.h
+++ b/src/libquetzal/calls/backend_call.h
@@ -67,6 +67,8 @@
   void OnOutcomeTimeout();
   /// Reports a request that the server has begun to run, if its whole identity is known.
   void ReportCut();
+  RequestIdentity Identity() const;
+  CrashVerdict JudgeCrash() const;
   /// Handles a response that is not an answer to this request: a refusal by the server,
   /// or the answer to another request. False for an answer.
   bool HandleNonAnswer(const AnswerMetadata& metadata);
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -89,7 +89,9 @@
   std::uint32_t connections = 0;
   ServerState state = SERVER_NONE;
   std::string id;  ///< Of the server process; empty when it announces none.
-  ServerObservations observations;  ///< Of this and earlier servers of the node.
+  /// Of this and earlier servers of the node; null before the first one, also if earlier
+  /// runs of the node had some that it has not learned yet.
+  std::optional<ServerObservations> observations;
 };
 
 /// Counts since the start, for the metrics of a node.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -100,7 +100,32 @@
       metadata_.remaining.value_or(kMaxTimeout),
       route_->timeout_ms() == 0 ? context_->options.default_timeout : Duration(timeout)));
   if (guard_) return ClaimWhenBodyIsComplete();
-  StartNextAttempt();
+  StartWhenJudged();
+}
+
+void CallerCall::StartWhenJudged() {
+  const CrashVerdict verdict = JudgeCrash();
+  awaits_verdict_ = verdict == CrashVerdict::kUndecided;
+  if (verdict == CrashVerdict::kCrashes) return RefuseCrashing();
+  if (!awaits_verdict_) StartNextAttempt();
+}
+
+RequestIdentity CallerCall::Identity() const {
+  RequestIdentity identity(method_, host_, path_, fields_);
+  for (const std::string& piece : body_.kept()) identity.AppendBody(piece);
+  return identity;
+}
+
+CrashVerdict CallerCall::JudgeCrash() const {
+  const auto matcher = context_->matcher();
+  if (!matcher || !matcher->snapshot().crashing) return CrashVerdict::kHarmless;
+  return matcher->snapshot().crashing->Judge(Identity(), body_.ended());
+}
+
+void CallerCall::RefuseCrashing() {
+  const bool may_have_run =
+      last_refusal_.code != ResultCode::kOk && !last_refusal_.not_run;
+  Refuse({ResultCode::kRequestCrashesServers, !may_have_run, kCrashRetention});
 }
 
 ResultCode CallerCall::FindRoute() {
@@ -156,6 +181,7 @@
   if (phase_ != Phase::kBody) return;
   if (!body_.replayable()) return Refuse({ResultCode::kBodyTooLarge, true, {}});
   if (!body_.ended()) return;
+  if (JudgeCrash() == CrashVerdict::kCrashes) return RefuseCrashing();
   guard_->Start(weak_from_this(), Fingerprint(), deadline_);
   EmitKeyed("call.accepted", ResultCode::kOk);
   StartNextAttempt();
@@ -179,6 +205,7 @@
   }
   body_.Append(std::move(bytes), BodySink());
   if (guard_) ClaimWhenBodyIsComplete();
+  if (awaits_verdict_) StartWhenJudged();
 }
 
 void CallerCall::OnBodyEnd() {
@@ -186,6 +213,7 @@
   if (phase_ == Phase::kEnded) return;
   body_.End(BodySink());
   if (guard_) ClaimWhenBodyIsComplete();
+  if (awaits_verdict_) StartWhenJudged();
 }
 
 void CallerCall::OnCallerDisconnected() {
@@ -285,6 +313,9 @@
   event.fields.emplace_back("attempts", std::to_string(attempts_));
   event.fields.emplace_back("tried", tried_.empty() ? "" : tried_.back());
   event.fields.emplace_back("version", std::to_string(version_));
+  if (refusal.code == ResultCode::kRequestCrashesServers) {
+    event.fields.emplace_back("request_hash", ToString(Identity().Fingerprint()));
+  }
   context_->deps.events->Emit(event);
 }
 
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -51,6 +51,11 @@
   ResultCode CheckVia();
   ResultCode CheckKey();
   void StartDeadline(Duration timeout);
+  /// Starts the first attempt once it is known that the request may be sent.
+  void StartWhenJudged();
+  RequestIdentity Identity() const;
+  CrashVerdict JudgeCrash() const;
+  void RefuseCrashing();
   void ClaimWhenBodyIsComplete();
   std::string Fingerprint() const;
 
@@ -124,6 +129,7 @@
   Phase phase_ = Phase::kBody;
   SteadyTime deadline_;
   std::unique_ptr<Timer> timer_;
+  bool awaits_verdict_ = false;  ///< On whether it crashes servers.
   bool deadline_passed_ = false;
   bool caller_disconnected_ = false;
 
@@ -137,6 +143,7 @@
   SteadyTime receipt_due_;
   int attempts_ = 0;
   std::uint32_t servers_reached_ = 0;  ///< Backend servers that have seen the request.
+  int lost_attempts_ = 0;              ///< That may have run, without an answer.
   std::vector<std::string> tried_;
   Refusal last_refusal_;
 
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -17,6 +17,10 @@
 constexpr int kMaxAttemptsWithProbes = 8;
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
+/// Attempts of one call that may end without an answer. Each may cost a server, before
+/// the other nodes can know of the crash.
+constexpr int kMaxLostAttempts = 2;
+
 /// Time in which a healthy instance acknowledges a request: a round trip, one
 /// retransmission and some scheduling delay. Requests with little time left wait for a
 /// part of it only.
@@ -75,6 +79,7 @@
 
 void CallerCall::StartNextAttempt() {
   if (deadline_passed_ || caller_disconnected_) return Abandon();
+  if (attempts_ > 0 && JudgeCrash() == CrashVerdict::kCrashes) return RefuseCrashing();
   target_ = NextTarget();
   if (!target_) {
     const bool has_refusal = last_refusal_.code != ResultCode::kOk;
@@ -220,6 +225,7 @@
 bool CallerCall::MayRetry(bool uses_retry_budget) {
   const int limit = route_->objective_ms() > 0 ? kMaxAttemptsWithProbes : kMaxAttempts;
   if (!body_.replayable() || attempts_ >= limit || answer_.committed()) return false;
+  if (lost_attempts_ >= kMaxLostAttempts) return false;
   if (route_->attempts() > 0 && servers_reached_ >= route_->attempts()) return false;
   return !uses_retry_budget ||
          (HasUntriedInstance() && context_->budgets.Spend(service_));
@@ -241,8 +247,10 @@
 }
 
 void CallerCall::RetryOrRefuse(const Refusal& refusal) {
+  if (refusal.code == ResultCode::kRequestCrashesServers) return RefuseCrashing();
   RememberRefusal(refusal);
   if (refusal.reached_server) ++servers_reached_;
+  if (refusal.reached_server && !refusal.not_run) ++lost_attempts_;
   const bool may_repeat = last_refusal_.not_run || route_->idempotent();
   if (may_repeat && MayRetry(UsesRetryBudget(refusal))) return StartNextAttempt();
   Refuse(last_refusal_);
--- a/src/libquetzal/calls/crash_report.h
+++ b/src/libquetzal/calls/crash_report.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "calls/request_fingerprint.h"
+#include "membership.pb.h"
 
 namespace quetzal {
 
@@ -15,6 +16,11 @@
   std::vector<RequestFingerprint> requests;
 };
 
+ServerCrash ToMessage(const CrashReport& crash);
+
+/// Ignores fingerprints that are incomplete.
+CrashReport FromMessage(const ServerCrash& message);
+
 }  // namespace quetzal
 
 #endif  // QUETZAL_CALLS_CRASH_REPORT_H_
--- a/src/libquetzal/calls/request_fingerprint.h
+++ b/src/libquetzal/calls/request_fingerprint.h
@@ -10,8 +10,9 @@
 
 namespace quetzal {
 
-/// Bytes of a body that count for its fingerprint.
-inline constexpr std::size_t kFingerprintBodyBytes = std::size_t{64} * 1024;
+/// Bytes of a body that count for its fingerprint. Less than the window of a stream, so
+/// that they arrive without being read.
+inline constexpr std::size_t kFingerprintBodyBytes = std::size_t{32} * 1024;
 
 /// Tells whether two requests are the same one, whatever their attempts and the nodes
 /// that received them.
--- a/src/libquetzal/calls/routing_snapshot.h
+++ b/src/libquetzal/calls/routing_snapshot.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/settings.h"
+#include "calls/crashing_requests.h"
 #include "configuration.pb.h"
 #include "membership.pb.h"
 
@@ -28,6 +29,7 @@
   Version version;
   std::shared_ptr<const Configuration> configuration;
   std::vector<BackendTarget> targets;  ///< Sorted by service, then instance.
+  std::shared_ptr<const CrashingRequests> crashing;  ///< Null when none are known.
 };
 
 /// Provides the current snapshot. Safe for use from several threads.
--- a/src/libquetzal/distribution/node_configuration.cc
+++ b/src/libquetzal/distribution/node_configuration.cc
@@ -65,6 +65,12 @@
   PublishSnapshot();
 }
 
+void NodeConfiguration::SetCrashingRequests(
+    std::shared_ptr<const CrashingRequests> crashing) {
+  crashing_ = std::move(crashing);
+  PublishSnapshot();
+}
+
 void NodeConfiguration::ConfirmFresh(const Version& floor) {
   floor_ = LaterOf(floor_, floor);
   fresh_ = true;
@@ -101,6 +107,7 @@
     next->version = applied_version_;
     next->configuration = configuration_.configuration;
     next->targets = TargetsFor(*next->configuration, targets_);
+    next->crashing = crashing_;
   }
   const std::lock_guard<std::mutex> lock(mutex_);
   snapshot_ = std::move(next);
--- a/src/libquetzal/distribution/node_configuration.h
+++ b/src/libquetzal/distribution/node_configuration.h
@@ -34,6 +34,9 @@
   void SetTargets(std::vector<BackendTarget> targets,
                   const std::vector<std::string>& withdrawn);
 
+  /// Sets the requests that must not be sent to a backend server; null: none.
+  void SetCrashingRequests(std::shared_ptr<const CrashingRequests> crashing);
+
   /// Confirms the configuration as fresh: the node serves with a version that is not
   /// older than `floor`, and waits for such a version if it has none.
   void ConfirmFresh(const Version& floor);
@@ -60,6 +63,7 @@
   Version floor_;
   MeasuredConfiguration configuration_;
   std::vector<BackendTarget> targets_;
+  std::shared_ptr<const CrashingRequests> crashing_;
   bool fresh_ = false;
 
   mutable std::mutex mutex_;
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -216,6 +216,7 @@
 
 void NodeDistribution::Core::OnMembershipChanged() {
   EmitMemberEvents();
+  RefreshCrashingRequests();
   RefreshTargets();
   RefreshSources();
   std::vector<Member> members;
@@ -276,6 +277,42 @@
   configuration_.SetTargets(std::move(targets), withdrawn);
 }
 
+void NodeDistribution::Core::RefreshCrashingRequests() {
+  std::vector<ServerCrash> crashes;
+  for (const auto& [name, entry] : membership_->table().entries()) {
+    const auto& observed = entry.member.server().observations().crashes();
+    crashes.insert(crashes.end(), observed.begin(), observed.end());
+  }
+  const auto same = [](const ServerCrash& a, const ServerCrash& b) {
+    return a.id() == b.id() && a.digests_size() == b.digests_size();
+  };
+  if (std::equal(crashes.begin(), crashes.end(), crashes_.begin(), crashes_.end(), same))
+    return;
+  crashes_ = std::move(crashes);
+  std::vector<CrashReport> reports;
+  reports.reserve(crashes_.size());
+  for (const ServerCrash& crash : crashes_) reports.push_back(FromMessage(crash));
+  auto crashing = std::make_shared<const CrashingRequests>(reports);
+  EmitCrashingRequests(*crashing);
+  crashing_ = crashing->empty() ? nullptr : std::move(crashing);
+  configuration_.SetCrashingRequests(crashing_);
+}
+
+void NodeDistribution::Core::EmitCrashingRequests(const CrashingRequests& latest) {
+  const auto emit = [this](const char* name, const CrashingRequests::Entry& entry) {
+    Emit(name, {{"request_hash", ToString(entry.request)},
+                {"crashes", std::to_string(entry.crashes)}});
+  };
+  for (const auto& entry : latest.entries()) {
+    const bool known = crashing_ != nullptr && crashing_->Contains(entry.request);
+    if (!known) emit("request.blocked", entry);
+  }
+  if (crashing_ == nullptr) return;
+  for (const auto& entry : crashing_->entries()) {
+    if (!latest.Contains(entry.request)) emit("request.unblocked", entry);
+  }
+}
+
 template <class Test>
 std::vector<std::string> NodeDistribution::Core::NodesWhere(Test test) const {
   std::vector<std::string> names;
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -60,7 +60,9 @@
 bool Same(const LocalBackendServer& a, const LocalBackendServer& b) {
   return a.service == b.service && a.address == b.address && a.slots == b.slots &&
          a.connections == b.connections && a.state == b.state && a.id == b.id &&
-         a.observations.SerializeAsString() == b.observations.SerializeAsString();
+         a.observations.has_value() == b.observations.has_value() &&
+         (!a.observations ||
+          a.observations->SerializeAsString() == b.observations->SerializeAsString());
 }
 
 }  // namespace
@@ -71,7 +73,8 @@
       clock_(clock),
       events_(events),
       observer_(std::move(observer)),
-      crash_detector_(clock) {}
+      crash_detector_(clock),
+      crash_log_(clock) {}
 
 void BackendServerMonitor::Announce(const std::string& json) {
   LocalBackendServer server = ParseAnnouncement(json);
@@ -143,6 +146,11 @@
 void BackendServerMonitor::RecordFormerObservations(
     const ServerObservations& observations) {
   std::lock_guard<std::mutex> lock(mutex_);
+  bool added = false;
+  for (const ServerCrash& crash : observations.crashes()) {
+    added = crash_log_.Add(FromMessage(crash)) || added;
+  }
+  if (added) SetServerLocked(server_);
   if (!observations.has_departure()) return;
   const ServerDeparture& departure = observations.departure();
   RecordFormerDepartureLocked(
@@ -173,6 +181,12 @@
   crash_detector_.RecordCut(cut);
 }
 
+void BackendServerMonitor::RecordCrashingRequests(const CrashingRequests& causes) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  crash_log_.Explain(causes);
+  SetServerLocked(server_);
+}
+
 void BackendServerMonitor::MarkLeaving() {
   std::lock_guard<std::mutex> lock(mutex_);
   if (server_.state == SERVER_NONE) return;
@@ -184,6 +198,7 @@
 void BackendServerMonitor::Tick() {
   std::lock_guard<std::mutex> lock(mutex_);
   ReportCrashLocked();
+  if (crash_log_.DropExpired()) SetServerLocked(server_);
   if (server_.state == SERVER_NONE || server_.state == SERVER_DOWN) return;
   if (clock_->Now() - last_contact_at_ < timeout_) return;
   LocalBackendServer server = server_;
@@ -213,6 +228,8 @@
                  {{"server", crash_detector_.crashed_server()},
                   {"running", std::to_string(crash->requests.size())},
                   {"requests", requests}}});
+  crash_log_.Add(*crash);
+  SetServerLocked(server_);
 }
 
 void BackendServerMonitor::Stop() {
@@ -233,6 +250,7 @@
 
 ServerObservations BackendServerMonitor::ObservationsLocked() const {
   ServerObservations observations;
+  crash_log_.WriteTo(&observations);
   const BackendDeparture departure = departed_.latest();
   if (departure.id.empty()) return observations;
   observations.mutable_departure()->set_id(departure.id);
@@ -241,7 +259,10 @@
 }
 
 void BackendServerMonitor::SetServerLocked(LocalBackendServer server) {
-  server.observations = ObservationsLocked();
+  ServerObservations observations = ObservationsLocked();
+  if (server_.observations || observations.ByteSizeLong() > 0) {
+    server.observations = std::move(observations);
+  }
   if (Same(server, server_)) return;
   server_ = std::move(server);
   observer_(server_);
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -11,6 +11,7 @@
 #include "base/event_log.h"
 #include "calls/call_path.h"
 #include "node/crash_detector.h"
+#include "node/crash_log.h"
 #include "node/departed_servers.h"
 
 namespace quetzal {
@@ -58,6 +59,9 @@
 
   void RecordCut(const CutRequest& cut);
 
+  /// Forgets which other requests ran in the crashes that these caused.
+  void RecordCrashingRequests(const CrashingRequests& causes);
+
   /// Marks the server as leaving, so that it gets no new requests.
   void MarkLeaving();
 
@@ -97,6 +101,7 @@
   ServerHeartbeat heartbeat_;  ///< The latest; its id is empty before the first one.
   DepartedServers departed_;
   CrashDetector crash_detector_;
+  CrashLog crash_log_;
   std::uint64_t crashes_ = 0;
   bool stopped_ = false;
 };
--- /dev/null
+++ b/src/libquetzal/node/crash_log.cc
@@ -0,0 +1,69 @@
+#include "node/crash_log.h"
+
+#include <algorithm>
+#include <numeric>
+#include <vector>
+
+namespace quetzal {
+namespace {
+
+/// Together with the rest of its member record they fit into one datagram.
+constexpr std::size_t kMaxRequests = 64;
+constexpr std::size_t kMaxCrashes = 16;
+
+}  // namespace
+
+bool CrashLog::Add(const CrashReport& crash) {
+  const bool known = std::any_of(entries_.begin(), entries_.end(),
+                                 [&](const Entry& e) { return e.crash.id == crash.id; });
+  if (known) return false;
+  entries_.push_back({crash, clock_->Now()});
+  DropExcess();
+  return true;
+}
+
+void CrashLog::Explain(const CrashingRequests& causes) {
+  for (Entry& entry : entries_) {
+    std::vector<RequestFingerprint> found;
+    for (const RequestFingerprint& request : entry.crash.requests) {
+      if (causes.Contains(request)) found.push_back(request);
+    }
+    if (found.empty()) continue;
+    entry.crash.requests = std::move(found);
+    entry.explained = true;
+  }
+}
+
+bool CrashLog::DropExpired() {
+  const SteadyTime now = clock_->Now();
+  const std::size_t before = entries_.size();
+  while (!entries_.empty() && now - entries_.front().added >= kCrashRetention) {
+    entries_.pop_front();
+  }
+  return entries_.size() != before;
+}
+
+void CrashLog::DropExcess() {
+  const auto excessive = [this] {
+    const std::size_t requests =
+        std::accumulate(entries_.begin(), entries_.end(), std::size_t{0},
+                        [](std::size_t sum, const Entry& entry) {
+                          return sum + entry.crash.requests.size();
+                        });
+    return requests > kMaxRequests || entries_.size() > kMaxCrashes;
+  };
+  while (entries_.size() > 1 && excessive()) {
+    auto it = std::find_if(entries_.begin(), std::prev(entries_.end()),
+                           [](const Entry& entry) { return !entry.explained; });
+    if (it == std::prev(entries_.end())) it = entries_.begin();
+    entries_.erase(it);
+  }
+}
+
+void CrashLog::WriteTo(ServerObservations* observations) const {
+  for (const Entry& entry : entries_) {
+    *observations->add_crashes() = ToMessage(entry.crash);
+  }
+}
+
+}  // namespace quetzal
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -266,9 +266,7 @@
   announced.set_slots(server.slots);
   announced.set_connections(server.connections);
   announced.set_state(server.state);
-  if (server.observations.ByteSizeLong() > 0) {
-    *announced.mutable_observations() = server.observations;
-  }
+  if (server.observations) *announced.mutable_observations() = *server.observations;
   distribution_->SetBackendServer(announced);
 }
 
@@ -277,6 +275,10 @@
   const auto snapshot = distribution_->routing().snapshot();
   // Callers that come before the backend servers of the fleet are known would be refused.
   if (snapshot && !accepting_ && distribution_->status().joined) StartAccepting();
+  if (snapshot && snapshot->crashing && snapshot->crashing != crashing_) {
+    crashing_ = snapshot->crashing;
+    backend_monitor_->RecordCrashingRequests(*crashing_);
+  }
   if (!snapshot || snapshot->version.index() <= keys_version_.index()) return;
   keys_version_ = snapshot->version;
   key_holder_->SetConfiguration(*snapshot->configuration);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -121,6 +121,7 @@
   std::unique_ptr<AdminServer> heartbeat_server_;
   std::unique_ptr<AdminServer> readiness_server_;
   std::unique_ptr<Timer> poll_timer_;
+  std::shared_ptr<const CrashingRequests> crashing_;  ///< Used by Poll() only.
   Version keys_version_;  ///< Version last given to key_holder_; used by Poll() only.
 };
 
--- a/tests/calls/crash_cluster.h
+++ b/tests/calls/crash_cluster.h
@@ -67,6 +67,15 @@
     });
   }
 
+  /// The server says that it leaves and ends while requests run on it.
+  void LeaveAndReplace(int n) {
+    monitors_[n]->RecordLeave(IdOf(n));
+    cluster.loop.Schedule(std::chrono::milliseconds(50), [this, n] {
+      --crashes;
+      EndServer(n);
+    });
+  }
+
   std::set<std::string> crashing_paths;
   std::vector<SteadyTime> crashed_at;
   std::vector<SteadyTime> crashing_runs;  ///< When a server began to run one of them.
@@ -74,9 +83,14 @@
   SimCluster cluster;
 
  private:
+  std::string IdOf(int n) const {
+    return "i-" + std::to_string(n) + "-" + std::to_string(incarnations_[n]);
+  }
+
   void SendHeartbeat(int n) {
+    ++incarnations_[n];
     ServerHeartbeat heartbeat;
-    heartbeat.id = "i-" + std::to_string(n) + "-" + std::to_string(++incarnations_[n]);
+    heartbeat.id = IdOf(n);
     heartbeat.service = "desk";
     heartbeat.address = cluster.nodes[n].backend;
     heartbeat.slots = 18;
@@ -89,7 +103,20 @@
   void OnServer(int n, const LocalBackendServer& server) {
     cluster.nodes[n].path->SetBackendServer(server);
     cluster.states[n] = server.state;
-    cluster.loop.Schedule(kDissemination, [this] { cluster.Distribute(); });
+    cluster.loop.Schedule(kDissemination, [this] { Distribute(); });
+  }
+
+  void Distribute() {
+    std::vector<CrashReport> reports;
+    for (const auto& monitor : monitors_) {
+      const LocalBackendServer server = monitor->server();
+      if (!server.observations) continue;
+      for (const ServerCrash& crash : server.observations->crashes()) {
+        reports.push_back(FromMessage(crash));
+      }
+    }
+    cluster.crashing = std::make_shared<const CrashingRequests>(reports);
+    cluster.Distribute();
   }
 
   void OnRun(int n, const std::string& path, const std::string& body) {
--- a/tests/calls/crashing_request_test.cc
+++ b/tests/calls/crashing_request_test.cc
@@ -49,5 +49,92 @@
       << cluster_.crashes << " crashes in all";
 }
 
+// Guards against ordinary requests that are shut out with the one beside them.
+TEST_F(CrashingRequestTest, OrdinaryRequestsAreServedBesideIt) {
+  cluster_.crashing_paths = {"/reports/crash"};
+  SendLoad("/reports/crash", milliseconds(400), seconds(10));
+  cluster_.Run(seconds(5));
+  const std::size_t sent_before = ordinary_.size();
+  SendLoad("/reports/crash", milliseconds(400), seconds(10));
+  cluster_.Run(seconds(2));
+  for (std::size_t n = 0; n < ordinary_.size(); ++n) {
+    const int result = ordinary_[n]->result();
+    EXPECT_NE(result, static_cast<int>(ResultCode::kRequestCrashesServers)) << n;
+    if (n >= sent_before) {
+      EXPECT_EQ(ordinary_[n]->status(), "200") << n;
+    }
+  }
+}
+
+TEST_F(CrashingRequestTest, ItsCallerIsToldNotToRepeatIt) {
+  cluster_.crashing_paths = {"/reports/crash"};
+  SendLoad("/reports/crash", milliseconds(400), seconds(10));
+  const auto received = cluster_.cluster.Send(0, "GET", "/reports/crash", "", "");
+  cluster_.Run(milliseconds(50));
+  EXPECT_EQ(received->status(), "400");
+  EXPECT_EQ(received->result(), static_cast<int>(ResultCode::kRequestCrashesServers));
+  EXPECT_TRUE(received->reports_not_run());
+  EXPECT_EQ(HeaderValue(received->headers, "retry-after"), "600");
+}
+
+// Two crashes prove it: each may come from another attempt of the same call.
+TEST_F(CrashingRequestTest, OneCallCostsTwoServersAtMost) {
+  cluster_.crashing_paths = {"/reports/crash"};
+  for (Route& route : *cluster_.cluster.configuration.mutable_routes()) {
+    route.set_attempts(0);
+  }
+  cluster_.Run(seconds(1));
+  const auto received = cluster_.cluster.Send(0, "GET", "/reports/crash", "", "");
+  cluster_.Run(seconds(5));
+  EXPECT_EQ(cluster_.crashes, 2);
+  EXPECT_FALSE(received->reports_not_run());
+}
+
+TEST_F(CrashingRequestTest, AnOrderIsJudgedByItsBody) {
+  cluster_.crashing_paths = {"bad order"};
+  const auto post = [this](const std::string& body) {
+    return cluster_.cluster.Send(sent_++ % kNodes, "POST", "/orders", "", body);
+  };
+  for (int n = 0; n < 20; ++n) {
+    post("bad order");
+    cluster_.Run(milliseconds(500));
+  }
+  cluster_.Run(seconds(4));
+  const auto bad = post("bad order");
+  const auto good = post("good order");
+  cluster_.Run(milliseconds(300));
+  EXPECT_TRUE(bad->reports_not_run());
+  EXPECT_EQ(bad->status(), "400");
+  EXPECT_EQ(good->status(), "200");
+}
+
+// A body that comes in pieces after the node has judged the head.
+TEST_F(CrashingRequestTest, AStreamedOrderWaitsForItsBody) {
+  cluster_.crashing_paths = {"bad order"};
+  for (int n = 0; n < 10; ++n) {
+    cluster_.cluster.Send(sent_++ % kNodes, "POST", "/orders", "", "bad order");
+    cluster_.Run(milliseconds(500));
+  }
+  cluster_.Run(seconds(4));
+  const int crashes = cluster_.crashes;
+  const auto bad = cluster_.cluster.SendPieces(0, "/orders", "", {"bad ", "order"});
+  const auto good = cluster_.cluster.SendPieces(1, "/orders", "", {"good ", "order"});
+  cluster_.Run(milliseconds(300));
+  EXPECT_EQ(bad->status(), "400");
+  EXPECT_EQ(good->status(), "200");
+  EXPECT_EQ(cluster_.crashes, crashes);
+}
+
+// Guards against planned work that counts as crashes.
+TEST_F(CrashingRequestTest, AReplacementOfAllServersShutsNothingOut) {
+  for (int round = 0; round < 4; ++round) {
+    for (int n = 0; n < kNodes; ++n) {
+      cluster_.LeaveAndReplace(n);
+      SendLoad("/reports/poll", milliseconds(20), milliseconds(500));
+    }
+  }
+  EXPECT_TRUE(cluster_.cluster.crashing == nullptr || cluster_.cluster.crashing->empty());
+}
+
 }  // namespace
 }  // namespace quetzal
--- a/tests/calls/sim_cluster.cc
+++ b/tests/calls/sim_cluster.cc
@@ -266,6 +266,7 @@
     snapshot->targets.push_back({node.name, node.data_centre, node.incarnation,
                                  node.streams, "desk", slots_, states[n]});
   }
+  snapshot->crashing = crashing;
   routing.current = std::move(snapshot);
 }
 
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -138,7 +138,7 @@
 // Guards against a server that is used again after the restart of its node.
 TEST_F(HeartbeatOrderTest, ADepartureThatAnEarlierRunAcknowledgedHolds) {
   RecordFormerDeparture("i-1", kFirstStart);
-  EXPECT_EQ(monitor_.server().observations.departure().id(), "i-1")
+  EXPECT_EQ(monitor_.server().observations->departure().id(), "i-1")
       << "known to the next run, too";
   SendHeartbeat("i-1", kFirstStart, 19);
   EXPECT_EQ(state(), SERVER_LEAVING);
@@ -150,7 +150,7 @@
 TEST_F(HeartbeatOrderTest, AFormerDepartureDoesNotReplaceALaterOne) {
   SendHeartbeat("i-2", kSecondStart, 1, true);
   RecordFormerDeparture("i-1", kFirstStart);
-  EXPECT_EQ(monitor_.server().observations.departure().id(), "i-2");
+  EXPECT_EQ(monitor_.server().observations->departure().id(), "i-2");
   SendHeartbeat("i-1", kFirstStart, 19);
   EXPECT_EQ(monitor_.server().id, "i-2");
 }
--- /dev/null
+++ b/tests/node/crash_log_test.cc
@@ -0,0 +1,67 @@
+// The crashes that a node tells the fleet of.
+#include "node/crash_log.h"
+
+#include <set>
+
+#include <gtest/gtest.h>
+
+namespace quetzal {
+namespace {
+
+class CrashLogTest : public ::testing::Test {
+ protected:
+  static CrashReport Crash(std::uint64_t id, std::size_t requests) {
+    CrashReport crash;
+    crash.id = id;
+    for (std::size_t n = 0; n < requests; ++n)
+      crash.requests.push_back({1, 100 * id + n});
+    return crash;
+  }
+  ServerObservations Observations() const {
+    ServerObservations observations;
+    log_.WriteTo(&observations);
+    return observations;
+  }
+  std::set<std::uint64_t> Ids() const {
+    std::set<std::uint64_t> ids;
+    const ServerObservations observations = Observations();
+    for (const ServerCrash& crash : observations.crashes()) ids.insert(crash.id());
+    return ids;
+  }
+
+  ManualClock clock_;
+  CrashLog log_{&clock_};
+};
+
+TEST_F(CrashLogTest, ACrashExpires) {
+  EXPECT_TRUE(log_.Add(Crash(1, 2)));
+  EXPECT_FALSE(log_.Add(Crash(1, 2))) << "told by another member";
+  clock_.Advance(kCrashRetention - std::chrono::seconds(1));
+  EXPECT_FALSE(log_.DropExpired());
+  EXPECT_EQ(Ids().size(), 1u);
+  clock_.Advance(std::chrono::seconds(1));
+  EXPECT_TRUE(log_.DropExpired());
+  EXPECT_TRUE(Ids().empty());
+}
+
+// A server that crashes again and again, with other requests each time. Guards against
+// member records that do not fit into a datagram.
+TEST_F(CrashLogTest, AFloodOfCrashesIsBounded) {
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    log_.Add(Crash(id, 20));
+    EXPECT_LE(Observations().ByteSizeLong(), 900u);
+  }
+  EXPECT_EQ(Ids(), (std::set<std::uint64_t>{98, 99, 100}));
+}
+
+// Guards against a flood that makes the fleet forget a known cause.
+TEST_F(CrashLogTest, CrashesWithAKnownCauseAreDroppedLast) {
+  log_.Add(Crash(1, 20));
+  log_.Explain(CrashingRequests({Crash(1, 1), {2, {{1, 100}}}}));
+  EXPECT_EQ(Observations().crashes(0).digests_size(), 1) << "the cause alone";
+  for (std::uint64_t id = 2; id <= 100; ++id) log_.Add(Crash(id, 20));
+  EXPECT_EQ(Ids(), (std::set<std::uint64_t>{1, 98, 99, 100}));
+}
+
+}  // namespace
+}  // namespace quetzal
--- a/tests/platform/call_dialect_test.cc
+++ b/tests/platform/call_dialect_test.cc
@@ -95,6 +95,8 @@
            {ResultCode::kNoRoute, true, "404"},
            {ResultCode::kRequestMalformed, true, "400"},
            {ResultCode::kBodyTooLarge, true, "413"},
+           {ResultCode::kRequestCrashesServers, true, "400"},
+           {ResultCode::kRequestCrashesServers, false, "400"},
            {ResultCode::kNoBackendServer, true, "503"},
            {ResultCode::kServerLeaving, true, "503"},
            {ResultCode::kServerFull, true, "503"},
