Calls: a request that has finished is not blamed for the next crash

Cause: a poll that runs everywhere ran in each crash of a power cut, and three of them shut it out. Each finished run speaks for one crash only, so that a request that becomes harmful is found.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -370,6 +370,7 @@
   if (answer_length_ && *answer_length_ != answer_received_) {
     return OnAnswerCut(ResultCode::kAnswerCut);
   }
+  context_->finished_requests.Add(Identity());
   EndAttempt(AttemptState::kDone);
   ReleaseSlot(answer_is_success_);
   if (!peer_disconnected_) peer_->SendData({}, true);
@@ -404,7 +405,9 @@
 void BackendCall::ReportCut() {
   const bool identified = body_ended_ || identified_body_.size() >= kFingerprintBodyBytes;
   if (!identified || !context_->deps.on_request_cut) return;
-  context_->deps.on_request_cut({server_id_, Identity().Fingerprint(), sent_at_});
+  const RequestIdentity identity = Identity();
+  context_->deps.on_request_cut({server_id_, identity.Fingerprint(), sent_at_,
+                                 context_->finished_requests.Take(identity)});
 }
 
 RequestIdentity BackendCall::Identity() const {
--- a/src/libquetzal/calls/call_context.cc
+++ b/src/libquetzal/calls/call_context.cc
@@ -29,6 +29,7 @@
       loads(dependencies.clock, dependencies.random),
       budgets(options.retry_percent, options.shared_retry_burst),
       attempts(kMaxAttempts, kMaxAttemptAnswerBytes),
+      finished_requests(SeedFromSystem()),
       admission(
           std::make_shared<BackendAdmission>(dependencies.clock, dependencies.executor)),
       dialect_(DialectOrDefault(dependencies.dialect)),
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -14,6 +14,7 @@
 #include "calls/call_path.h"
 #include "calls/caller_timeout_estimator.h"
 #include "calls/drain_gate.h"
+#include "calls/finished_requests.h"
 #include "calls/load_table.h"
 #include "calls/local_stream.h"
 #include "calls/refusal_rates.h"
@@ -62,6 +63,7 @@
   RefusalRates refusal_rates;
   CallerTimeoutEstimator caller_timeouts;
   AttemptTable attempts;
+  FinishedRequests finished_requests;
   const std::shared_ptr<BackendAdmission> admission;
   DrainGate drain;
   LocalStreams local_streams;
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -53,6 +53,7 @@
   std::string server_id;  ///< Process that the request was sent to.
   RequestFingerprint request;
   SteadyTime sent_at;
+  bool finished_before = false;  ///< It has run to its end, and was not cut since.
 };
 
 /// Dependencies of a CallPath; all of them must outlive it.
--- a/src/libquetzal/node/crash_detector.cc
+++ b/src/libquetzal/node/crash_detector.cc
@@ -1,6 +1,7 @@
 #include "node/crash_detector.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -65,13 +66,15 @@
   });
   CrashReport crash;
   crash.id = MakeId(ended_server_, clock_->WallNow());
+  // The same request may run several times at once. What has finished before is not to
+  // blame for this crash.
+  std::set<std::uint64_t> left_out;
   for (const TimedCut& cut : cuts) {
-    const bool known = std::any_of(
-        crash.requests.begin(), crash.requests.end(),
-        [&](const auto& request) { return request.digest == cut.cut.request.digest; });
-    if (!known && crash.requests.size() < kMaxRequests) {
-      crash.requests.push_back(cut.cut.request);
-    }
+    if (cut.cut.finished_before) left_out.insert(cut.cut.request.digest);
+  }
+  for (const TimedCut& cut : cuts) {
+    if (!left_out.insert(cut.cut.request.digest).second) continue;
+    if (crash.requests.size() < kMaxRequests) crash.requests.push_back(cut.cut.request);
   }
   crashed_server_ = ended_server_;
   return crash;
--- a/tests/calls/crashing_request_test.cc
+++ b/tests/calls/crashing_request_test.cc
@@ -129,6 +129,30 @@
   EXPECT_EQ(cluster_.crashes, crashes);
 }
 
+// One caller polls the same report everywhere while all servers lose power. Guards
+// against a request that is shut out for running on many servers at once.
+TEST_F(CrashingRequestTest, APollOutlivesMassCrashes) {
+  for (int round = 0; round < 4; ++round) {
+    SendLoad("/reports/poll", milliseconds(20), seconds(3));
+    for (int n = 0; n < kNodes; ++n) cluster_.EndServer(n);
+    cluster_.Run(seconds(5));
+  }
+  EXPECT_EQ(cluster_.crashes, 4 * kNodes);
+  const auto received = cluster_.cluster.Send(0, "GET", "/reports/poll", "", "");
+  cluster_.Run(milliseconds(300));
+  EXPECT_EQ(received->status(), "200");
+}
+
+// Runs that end well must not hide a request that crashes servers from now on.
+TEST_F(CrashingRequestTest, ARequestThatWasHarmlessBeforeIsShutOut) {
+  SendLoad("/reports/crash", milliseconds(100), seconds(3));
+  cluster_.crashing_paths = {"/reports/crash"};
+  SendLoad("/reports/crash", milliseconds(400), seconds(20));
+  const SteadyTime limit = cluster_.crashed_at.back() + seconds(3);
+  EXPECT_LT(limit, cluster_.cluster.loop.clock.Now()) << "the last crash was long ago";
+  EXPECT_LE(cluster_.crashes, 2 * kNodes) << "each node forgives one crash";
+}
+
 // Guards against planned work that counts as crashes.
 TEST_F(CrashingRequestTest, AReplacementOfAllServersShutsNothingOut) {
   for (int round = 0; round < 4; ++round) {
--- a/tests/node/crash_detector_test.cc
+++ b/tests/node/crash_detector_test.cc
@@ -59,6 +59,16 @@
   EXPECT_EQ(TakeRequests(), (std::vector<std::uint64_t>{2}));
 }
 
+// Guards against polls that are blamed for running at every crash.
+TEST_F(CrashDetectorTest, ARequestThatHasFinishedBeforeIsLeftOut) {
+  Cut("i-1", 1);
+  detector_.RecordCut({"i-1", {1, 1}, clock_.Now(), /*finished_before=*/true});
+  Cut("i-1", 1);
+  Cut("i-1", 2);
+  detector_.RecordEnd("i-1");
+  EXPECT_EQ(TakeRequests(), (std::vector<std::uint64_t>{2}));
+}
+
 TEST_F(CrashDetectorTest, CutsOfAnotherServerAreLeftOut) {
   Cut("i-1", 1);
   Cut("i-2", 2);
