Membership: who was out of reach exchanges tables at once

Cause: gossip repeats an update for a second or two. A node that was cut off meanwhile learned of it by the third probe that showed another table, and not while it had updates of its own to send. Change: an instance that learns that others suspected it or declared it dead, or hears a data centre again that was cut off, exchanges tables with the next member that has another one.

--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -85,6 +85,35 @@
     return true;
   }
 
+  /// The number of crashes that a node knows.
+  std::size_t CrashesKnown(std::size_t n) const {
+    std::size_t known = 0;
+    for (const auto& [name, entry] : nodes_[n]->table().entries()) {
+      known +=
+          static_cast<std::size_t>(entry.member.server().observations().crashes_size());
+    }
+    return known;
+  }
+  bool AllNodesKnowCrashes(std::size_t count) const {
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      if (up_[n] && CrashesKnown(n) < count) return false;
+    }
+    return true;
+  }
+
+  /// The node's server crashes with all its slots busy.
+  void Crash(std::size_t n) {
+    constexpr std::uint64_t kRunning = 18;
+    BackendServer server = nodes_[n]->self().server();
+    ServerCrash* crash = server.mutable_observations()->add_crashes();
+    crash->set_id(random_.Next());
+    for (std::uint64_t request = 0; request < kRunning; ++request) {
+      crash->add_heads(static_cast<std::uint32_t>(random_.Next()));
+      crash->add_digests(random_.Next());
+    }
+    nodes_[n]->SetServer(server);
+  }
+
   std::size_t MemoryPerMember() const {
     std::size_t bytes = 0;
     for (const auto& [name, entry] : nodes_[0]->table().entries()) {
@@ -162,6 +191,47 @@
   return text.str();
 }
 
+/// One crash, then a hundred within a second. Returns fields for the report.
+std::vector<std::pair<std::string, std::string>> MeasureCrashes(std::size_t count,
+                                                                double idle) {
+  constexpr std::size_t kCrashes = 100;
+  // Two crashes show a cause.
+  constexpr std::size_t kCrashesOfACause = 2;
+  Fleet fleet(count);
+  fleet.Run(seconds(20));
+  const auto size = static_cast<double>(count);
+  const auto added_bytes = [&](std::uint64_t before, double elapsed_s) {
+    return Text(static_cast<double>(fleet.bytes - before) / size - idle * elapsed_s);
+  };
+  std::uint64_t before = fleet.bytes;
+  SteadyTime start = fleet.now();
+  fleet.Crash(0);
+  fleet.Run(seconds(60), [&] { return fleet.AllNodesKnowCrashes(1); });
+  const double one_ms = fleet.MillisSince(start);
+  fleet.Run(seconds(20));
+  const std::string one_bytes = added_bytes(before, fleet.MillisSince(start) / 1000);
+
+  before = fleet.bytes;
+  start = fleet.now();
+  std::size_t crashes = 1;
+  for (; crashes <= kCrashes && crashes < count; ++crashes) {
+    fleet.Crash(crashes);
+    if (crashes % 10 == 0) fleet.Run(milliseconds(100));
+  }
+  fleet.Run(seconds(60), [&] { return fleet.AllNodesKnowCrashes(1 + kCrashesOfACause); });
+  const double cause_ms = fleet.MillisSince(start);
+  fleet.Run(seconds(120), [&] { return fleet.AllNodesKnowCrashes(crashes); });
+  const double all_ms = fleet.MillisSince(start);
+  fleet.Run(seconds(60));
+  return {{"crash_known_ms", Text(one_ms)},
+          {"crash_bytes_node", one_bytes},
+          {"crashes", std::to_string(crashes - 1)},
+          {"two_known_ms", Text(cause_ms)},
+          {"all_known_ms", Text(all_ms)},
+          {"crashes_bytes_node", added_bytes(before, fleet.MillisSince(start) / 1000)},
+          {"crash_memory_member", std::to_string(fleet.MemoryPerMember())}};
+}
+
 std::string Measure(std::size_t count) {
   Fleet fleet(count);
   fleet.Run(seconds(20));
@@ -191,13 +261,15 @@
   });
   const double dead_ms = fleet.MillisSince(start);
 
-  const std::vector<std::pair<std::string, std::string>> fields = {
+  std::vector<std::pair<std::string, std::string>> fields = {
       {"nodes", std::to_string(count)},
       {"idle_bytes_s_node", Text(idle)},
       {"news_bytes_node", Text(update_bytes)},
       {"leaving_known_ms", Text(leaving_ms)},
       {"death_known_ms", Text(dead_ms)},
       {"memory_member", std::to_string(fleet.MemoryPerMember())}};
+  const auto crashes = MeasureCrashes(count, idle);
+  fields.insert(fields.end(), crashes.begin(), crashes.end());
   std::string json;
   for (const auto& [name, value] : fields) {
     std::cout << std::setw(28) << name + "=" + value;
--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -102,9 +102,12 @@
   if (datagram.table_digest() == table_.Digest()) return;
   const SteadyTime now = clock_->Now();
   const MemberTable::Entry* entry = table_.Find(datagram.sender());
+  if (entry == nullptr || now < next_exchange_) return;
   // Pending updates explain a difference; gossip delivers them without an exchange.
-  if (!queue_.empty() || entry == nullptr || now < next_exchange_) return;
-  if (++digest_mismatches_ < kDigestMismatchesBeforeExchange) return;
+  if (!missed_updates_ &&
+      (!queue_.empty() || ++digest_mismatches_ < kDigestMismatchesBeforeExchange)) {
+    return;
+  }
   digest_mismatches_ = 0;
   StartExchange(*TryEndpoint(entry->member.stream_address()));
 }
@@ -177,7 +180,13 @@
   actions_.push_back({MembershipAction::Kind::kExchange, peer, push.SerializeAsString()});
 }
 
+void Membership::ExpectMissedUpdates() {
+  missed_updates_ = true;
+  next_exchange_ = clock_->Now();
+}
+
 void Membership::StartExchange(const Endpoint& stream_address) {
+  missed_updates_ = false;
   TableExchange request;
   request.set_sender(self_.instance());
   *request.mutable_known() = LaterOf(known_, applied_version_);
@@ -238,6 +247,9 @@
   }
   if (!IsNewer(report, self_)) return;
   if (report.state() == MEMBER_DEAD) ++false_death_reports_;
+  // Whoever could not be reached was not reached by updates either, and gossip does not
+  // repeat them for long.
+  ExpectMissedUpdates();
   self_.set_sequence(std::max(self_.sequence(), report.sequence()));
   PublishSelf();
 }
--- a/src/libquetzal/membership/membership.h
+++ b/src/libquetzal/membership/membership.h
@@ -150,6 +150,8 @@
   void OnAck(const GossipDatagram& datagram);
   void RecordContact(const GossipDatagram& datagram);
   void CompareDigest(const GossipDatagram& datagram);
+  /// Makes the next contact with a different table lead to an exchange.
+  void ExpectMissedUpdates();
 
   void Apply(const Member& update, bool disseminate);
   void Apply(const Reach& reach);
@@ -190,6 +192,7 @@
   std::uint64_t revision_ = 1;
   std::uint64_t false_death_reports_ = 0;
   std::uint32_t digest_mismatches_ = 0;
+  bool missed_updates_ = false;  ///< Probably; until the next exchange.
   bool joined_ = false;
   bool identity_taken_over_ = false;
 };
--- a/src/libquetzal/membership/membership_probes.cc
+++ b/src/libquetzal/membership/membership_probes.cc
@@ -295,7 +295,7 @@
     if (reachability_.IsCutOff(data_centre)) {
       queue_.Add(reachability_.Assess(data_centre, false, now));
       ++revision_;
-      next_exchange_ = now;
+      ExpectMissedUpdates();
     }
   }
   if (!joined_ && clock_->Now() >= next_exchange_) {
--- a/tests/simulation/sim_fleet.h
+++ b/tests/simulation/sim_fleet.h
@@ -33,7 +33,8 @@
     std::string service;
     bool announces_up = false;   ///< Its backend server is announced as SERVER_UP.
     bool left_for_good = false;  ///< It left and is not started again.
-    std::vector<ServerObservations> former;  ///< Learned from other members.
+    /// Learned from other members; announced again, as the monitor of a node does.
+    std::vector<ServerObservations> former;
   };
   struct Control {
     Host* host = nullptr;
@@ -112,8 +113,9 @@
     dependencies.clock = &world.clock;
     dependencies.random = &parts->random;
     dependencies.events = &parts->events;
-    dependencies.on_former_observations = [node](const ServerObservations& former) {
+    dependencies.on_former_observations = [this, node](const ServerObservations& former) {
       node->former.push_back(former);
+      if (node->announces_up) Announce(node, SERVER_UP);
     };
     node->distribution =
         std::make_unique<NodeDistribution>(identity, settings, dependencies);
@@ -131,6 +133,7 @@
     server.set_service(node->service);
     server.set_slots(20);
     server.set_state(state);
+    if (!node->former.empty()) *server.mutable_observations() = node->former.back();
     if (state == SERVER_NONE) server.Clear();
     node->distribution->SetBackendServer(server);
   }
@@ -139,6 +142,7 @@
     if (node->distribution == nullptr) return;
     if (!node->host->paused) CheckInvariants(node);
     node->distribution.reset();
+    node->former.clear();
     BreakChannels(&world, &registry, node->host);
     world.Kill(node->host);
   }
