Node: operators see which requests are refused and take one off

GET /v1/crashing-requests on a node lists the requests that are shut out; DELETE /v1/crashing-requests/HASH acquits one of the crashes that are known now, for the whole fleet: the node publishes the acquittal with its observations (four at most, ten minutes), and every node leaves the crashes that it names out. Later crashes of the request count again.

--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -74,6 +74,7 @@
   std::atomic<std::uint64_t> retried{0};
   std::atomic<std::uint64_t> admitted{0};
   std::atomic<std::uint64_t> shed{0};
+  std::atomic<std::uint64_t> blocked{0};
 
  private:
   void ApplyLimits();
--- a/src/libquetzal/calls/call_path.cc
+++ b/src/libquetzal/calls/call_path.cc
@@ -66,6 +66,7 @@
   counts.retried = context.retried;
   counts.admitted = context.admitted;
   counts.shed = context.shed;
+  counts.blocked = context.blocked;
   counts.in_flight = context.drain.active_calls();
   counts.queued = context.admission->load().queued;
   counts.rate_limit = context.rate_limit();
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -103,6 +103,7 @@
   std::uint64_t retried = 0;    ///< Attempts after the first.
   std::uint64_t admitted = 0;   ///< Requests sent to the local backend server.
   std::uint64_t shed = 0;       ///< Requests that admission refused.
+  std::uint64_t blocked = 0;    ///< Refused as they crash servers; also in `refused`.
   std::uint64_t in_flight = 0;  ///< Active calls of callers and peers.
   std::uint64_t queued = 0;     ///< Requests queued for a slot.
   /// Requests per second that the local backend server takes; null: no limit.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -123,6 +123,7 @@
 }
 
 void CallerCall::RefuseCrashing() {
+  ++context_->blocked;
   const bool may_have_run =
       last_refusal_.code != ResultCode::kOk && !last_refusal_.not_run;
   Refuse({ResultCode::kRequestCrashesServers, !may_have_run, kCrashRetention});
--- a/src/libquetzal/calls/crash_report.cc
+++ b/src/libquetzal/calls/crash_report.cc
@@ -24,4 +24,15 @@
   return crash;
 }
 
+CrashAcquittal ToMessage(const Acquittal& acquittal) {
+  CrashAcquittal message;
+  message.set_digest(acquittal.digest);
+  for (const std::uint64_t crash : acquittal.crashes) message.add_crashes(crash);
+  return message;
+}
+
+Acquittal FromMessage(const CrashAcquittal& message) {
+  return {message.digest(), {message.crashes().begin(), message.crashes().end()}};
+}
+
 }  // namespace quetzal
--- a/src/libquetzal/calls/crash_report.h
+++ b/src/libquetzal/calls/crash_report.h
@@ -16,11 +16,20 @@
   std::vector<RequestFingerprint> requests;
 };
 
+/// Crashes that no longer count against a request.
+struct Acquittal {
+  std::uint64_t digest = 0;  ///< Of the request.
+  std::vector<std::uint64_t> crashes;
+};
+
 ServerCrash ToMessage(const CrashReport& crash);
 
 /// Ignores fingerprints that are incomplete.
 CrashReport FromMessage(const ServerCrash& message);
 
+CrashAcquittal ToMessage(const Acquittal& acquittal);
+Acquittal FromMessage(const CrashAcquittal& message);
+
 }  // namespace quetzal
 
 #endif  // QUETZAL_CALLS_CRASH_REPORT_H_
--- a/src/libquetzal/calls/crashing_requests.cc
+++ b/src/libquetzal/calls/crashing_requests.cc
@@ -19,7 +19,8 @@
 /// ran in it.
 class CauseFinder {
  public:
-  explicit CauseFinder(const std::vector<CrashReport>& reports) {
+  CauseFinder(const std::vector<CrashReport>& reports,
+              const std::vector<Acquittal>& acquittals) {
     std::set<std::uint64_t> seen;
     for (const CrashReport& report : reports) {
       if (!seen.insert(report.id).second) continue;
@@ -29,6 +30,11 @@
         suspect.crashes.insert(report.id);
       }
     }
+    for (const Acquittal& acquittal : acquittals) {
+      const auto it = suspects_.find(acquittal.digest);
+      if (it == suspects_.end()) continue;
+      for (const std::uint64_t crash : acquittal.crashes) it->second.crashes.erase(crash);
+    }
     // Most requests ran in one crash only, and cannot become a cause.
     for (auto it = suspects_.begin(); it != suspects_.end();) {
       const bool once = it->second.crashes.size() < kCrashesOfASoleSuspect;
@@ -45,8 +51,9 @@
       std::set<std::uint64_t> explained;
       for (const std::uint64_t digest : found) {
         const auto it = suspects_.find(digest);
-        explained.insert(it->second.crashes.begin(), it->second.crashes.end());
-        causes.push_back({it->second.request, it->second.crashes.size()});
+        const std::set<std::uint64_t>& crashes = it->second.crashes;
+        explained.insert(crashes.begin(), crashes.end());
+        causes.push_back({it->second.request, {crashes.begin(), crashes.end()}});
         suspects_.erase(it);
       }
       for (auto& [digest, suspect] : suspects_) {
@@ -88,8 +95,9 @@
 
 }  // namespace
 
-CrashingRequests::CrashingRequests(const std::vector<CrashReport>& reports)
-    : entries_(CauseFinder(reports).Find()) {
+CrashingRequests::CrashingRequests(const std::vector<CrashReport>& reports,
+                                   const std::vector<Acquittal>& acquittals)
+    : entries_(CauseFinder(reports, acquittals).Find()) {
   std::sort(entries_.begin(), entries_.end(), [](const Entry& a, const Entry& b) {
     return a.request.digest < b.request.digest;
   });
@@ -106,6 +114,13 @@
                                          : CrashVerdict::kHarmless;
 }
 
+const CrashingRequests::Entry* CrashingRequests::Find(const std::string& hash) const {
+  const auto it = std::find_if(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    return ToString(entry.request) == hash;
+  });
+  return it == entries_.end() ? nullptr : &*it;
+}
+
 bool CrashingRequests::Contains(const RequestFingerprint& request) const {
   const auto [begin, end] = digests_.equal_range(request.head);
   return std::any_of(begin, end,
--- a/src/libquetzal/calls/crashing_requests.h
+++ b/src/libquetzal/calls/crashing_requests.h
@@ -28,17 +28,21 @@
  public:
   struct Entry {
     RequestFingerprint request;
-    std::size_t crashes = 0;  ///< Number of servers that ended while they ran it.
+    std::vector<std::uint64_t> crashes;  ///< Ids of those that it caused.
   };
 
   /// Reports with the same id count once.
-  explicit CrashingRequests(const std::vector<CrashReport>& reports);
+  explicit CrashingRequests(const std::vector<CrashReport>& reports,
+                            const std::vector<Acquittal>& acquittals = {});
 
   /// `body_complete`: no more of the body follows.
   CrashVerdict Judge(const RequestIdentity& request, bool body_complete) const;
 
   bool Contains(const RequestFingerprint& request) const;
 
+  /// Finds an entry by its hash as an operator writes it; null for an unknown one.
+  const Entry* Find(const std::string& hash) const;
+
   bool empty() const { return entries_.empty(); }
 
   /// Sorted by fingerprint.
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -278,21 +278,23 @@
 }
 
 void NodeDistribution::Core::RefreshCrashingRequests() {
-  std::vector<ServerCrash> crashes;
+  ServerObservations observations;
   for (const auto& [name, entry] : membership_->table().entries()) {
-    const auto& observed = entry.member.server().observations().crashes();
-    crashes.insert(crashes.end(), observed.begin(), observed.end());
+    observations.MergeFrom(entry.member.server().observations());
   }
-  const auto same = [](const ServerCrash& a, const ServerCrash& b) {
-    return a.id() == b.id() && a.digests_size() == b.digests_size();
-  };
-  if (std::equal(crashes.begin(), crashes.end(), crashes_.begin(), crashes_.end(), same))
-    return;
-  crashes_ = std::move(crashes);
+  observations.clear_departure();
+  std::string serialized = observations.SerializeAsString();
+  if (serialized == observations_) return;
+  observations_ = std::move(serialized);
   std::vector<CrashReport> reports;
-  reports.reserve(crashes_.size());
-  for (const ServerCrash& crash : crashes_) reports.push_back(FromMessage(crash));
-  auto crashing = std::make_shared<const CrashingRequests>(reports);
+  for (const ServerCrash& crash : observations.crashes()) {
+    reports.push_back(FromMessage(crash));
+  }
+  std::vector<Acquittal> acquittals;
+  for (const CrashAcquittal& acquittal : observations.acquittals()) {
+    acquittals.push_back(FromMessage(acquittal));
+  }
+  auto crashing = std::make_shared<const CrashingRequests>(reports, acquittals);
   EmitCrashingRequests(*crashing);
   crashing_ = crashing->empty() ? nullptr : std::move(crashing);
   configuration_.SetCrashingRequests(crashing_);
@@ -301,7 +303,7 @@
 void NodeDistribution::Core::EmitCrashingRequests(const CrashingRequests& latest) {
   const auto emit = [this](const char* name, const CrashingRequests::Entry& entry) {
     Emit(name, {{"request_hash", ToString(entry.request)},
-                {"crashes", std::to_string(entry.crashes)}});
+                {"crashes", std::to_string(entry.crashes.size())}});
   };
   for (const auto& entry : latest.entries()) {
     const bool known = crashing_ != nullptr && crashing_->Contains(entry.request);
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -102,7 +102,7 @@
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> ack_timer_;
   std::map<std::string, MemberState> reported_states_;
-  std::vector<ServerCrash> crashes_;                  ///< That the members have observed.
+  std::string observations_;  ///< Of all members, serialized, without departures.
   std::shared_ptr<const CrashingRequests> crashing_;  ///< Null when there are none.
   std::uint64_t seen_revision_ = 0;
   std::uint64_t seen_false_death_reports_ = 0;
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -150,6 +150,9 @@
   for (const ServerCrash& crash : observations.crashes()) {
     added = crash_log_.Add(FromMessage(crash)) || added;
   }
+  for (const CrashAcquittal& acquittal : observations.acquittals()) {
+    added = crash_log_.AddFormer(FromMessage(acquittal)) || added;
+  }
   if (added) SetServerLocked(server_);
   if (!observations.has_departure()) return;
   const ServerDeparture& departure = observations.departure();
@@ -181,6 +184,12 @@
   crash_detector_.RecordCut(cut);
 }
 
+void BackendServerMonitor::Acquit(const Acquittal& acquittal) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  crash_log_.Acquit(acquittal);
+  SetServerLocked(server_);
+}
+
 void BackendServerMonitor::RecordCrashingRequests(const CrashingRequests& causes) {
   std::lock_guard<std::mutex> lock(mutex_);
   crash_log_.Explain(causes);
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -59,6 +59,9 @@
 
   void RecordCut(const CutRequest& cut);
 
+  /// Tells the fleet that these crashes no longer count against the request.
+  void Acquit(const Acquittal& acquittal);
+
   /// Forgets which other requests ran in the crashes that these caused.
   void RecordCrashingRequests(const CrashingRequests& causes);
 
--- a/src/libquetzal/node/crash_log.cc
+++ b/src/libquetzal/node/crash_log.cc
@@ -10,6 +10,8 @@
 /// Together with the rest of its member record they fit into one datagram.
 constexpr std::size_t kMaxRequests = 64;
 constexpr std::size_t kMaxCrashes = 16;
+constexpr std::size_t kMaxAcquittals = 4;
+constexpr std::size_t kMaxCrashesOfAcquittal = 8;
 
 }  // namespace
 
@@ -22,6 +24,27 @@
   return true;
 }
 
+void CrashLog::Acquit(const Acquittal& acquittal) {
+  acquittals_.erase(std::remove_if(acquittals_.begin(), acquittals_.end(),
+                                   [&](const TimedAcquittal& other) {
+                                     return other.acquittal.digest == acquittal.digest;
+                                   }),
+                    acquittals_.end());
+  if (acquittals_.size() >= kMaxAcquittals) acquittals_.pop_front();
+  acquittals_.push_back({acquittal, clock_->Now()});
+  auto& crashes = acquittals_.back().acquittal.crashes;
+  if (crashes.size() > kMaxCrashesOfAcquittal) crashes.resize(kMaxCrashesOfAcquittal);
+}
+
+bool CrashLog::AddFormer(const Acquittal& acquittal) {
+  const bool known = std::any_of(acquittals_.begin(), acquittals_.end(),
+                                 [&](const TimedAcquittal& other) {
+                                   return other.acquittal.digest == acquittal.digest;
+                                 });
+  if (!known) Acquit(acquittal);
+  return !known;
+}
+
 void CrashLog::Explain(const CrashingRequests& causes) {
   for (Entry& entry : entries_) {
     std::vector<RequestFingerprint> found;
@@ -40,7 +63,12 @@
   while (!entries_.empty() && now - entries_.front().added >= kCrashRetention) {
     entries_.pop_front();
   }
-  return entries_.size() != before;
+  bool dropped = entries_.size() != before;
+  while (!acquittals_.empty() && now - acquittals_.front().added >= kCrashRetention) {
+    acquittals_.pop_front();
+    dropped = true;
+  }
+  return dropped;
 }
 
 void CrashLog::DropExcess() {
@@ -64,6 +92,9 @@
   for (const Entry& entry : entries_) {
     *observations->add_crashes() = ToMessage(entry.crash);
   }
+  for (const TimedAcquittal& entry : acquittals_) {
+    *observations->add_acquittals() = ToMessage(entry.acquittal);
+  }
 }
 
 }  // namespace quetzal
--- a/src/libquetzal/node/crash_log.h
+++ b/src/libquetzal/node/crash_log.h
@@ -20,6 +20,12 @@
   /// Adds a crash that is not known yet; false for others.
   bool Add(const CrashReport& crash);
 
+  /// Adds an acquittal, and with it replaces an earlier one of the request.
+  void Acquit(const Acquittal& acquittal);
+
+  /// Adds one of an earlier run of this node; false if the request has one already.
+  bool AddFormer(const Acquittal& acquittal);
+
   /// Keeps, of each crash that `causes` explain, only its causes.
   void Explain(const CrashingRequests& causes);
 
@@ -35,10 +41,16 @@
     bool explained = false;
   };
 
+  struct TimedAcquittal {
+    Acquittal acquittal;
+    SteadyTime added;
+  };
+
   void DropExcess();
 
   const Clock* clock_;
-  std::deque<Entry> entries_;  ///< The latest is last.
+  std::deque<Entry> entries_;              ///< The latest is last.
+  std::deque<TimedAcquittal> acquittals_;  ///< The latest is last.
 };
 
 }  // namespace quetzal
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -309,6 +309,8 @@
   report.members = distribution_->members();
   report.server = backend_monitor_->server();
   report.crashes = backend_monitor_->crashes();
+  const auto snapshot = distribution_->routing().snapshot();
+  if (snapshot) report.crashing = snapshot->crashing;
   report.calls = calls_->counts();
   report.key_records = key_holder_->record_count();
   report.key_bytes = key_holder_->record_bytes();
--- a/src/node/node_admin.cc
+++ b/src/node/node_admin.cc
@@ -10,7 +10,9 @@
 
 using Json = nlohmann::json;
 
+constexpr int kStatusNotFound = 404;
 constexpr int kStatusMethodNotAllowed = 405;
+constexpr std::string_view kCrashingRequestsPath = "/v1/crashing-requests";
 
 AdminResponse Answer(int status, const Json& body) {
   return {status, "application/json", body.dump()};
@@ -94,6 +96,28 @@
   return {{"members", list}};
 }
 
+Json ToJson(const CrashingRequests::Entry& entry) {
+  return {{"request_hash", ToString(entry.request)}, {"crashes", entry.crashes.size()}};
+}
+
+Json CrashingRequestsJson(const NodeReport& report) {
+  Json list = Json::array();
+  if (report.crashing) {
+    for (const auto& entry : report.crashing->entries()) list.push_back(ToJson(entry));
+  }
+  return {{"crashing_requests", list}};
+}
+
+AdminResponse Unblock(const std::string& hash, const NodeReport& report,
+                      BackendServerMonitor* backend) {
+  const auto* entry = report.crashing ? report.crashing->Find(hash) : nullptr;
+  if (entry == nullptr) {
+    return Answer(kStatusNotFound, {{"message", "no such request is refused"}});
+  }
+  backend->Acquit({entry->request.digest, entry->crashes});
+  return Answer(200, {{"unblocked", ToJson(*entry)}});
+}
+
 AdminResponse AnswerBackendServer(const AdminRequest& request,
                                   BackendServerMonitor* backend) {
   if (request.method == "POST") {
@@ -115,9 +139,16 @@
     if (request.path == "/v1/backend-server") {
       return AnswerBackendServer(request, backend);
     }
+    const std::string prefix = std::string(kCrashingRequestsPath) + '/';
+    if (request.method == "DELETE" && request.path.rfind(prefix, 0) == 0) {
+      return Unblock(request.path.substr(prefix.size()), report(), backend);
+    }
     if (request.method != "GET") {
       return Answer(kStatusMethodNotAllowed, {{"message", "use GET"}});
     }
+    if (request.path == kCrashingRequestsPath) {
+      return Answer(200, CrashingRequestsJson(report()));
+    }
     if (request.path == "/v1/status") return Answer(200, StatusJson(report()));
     if (request.path == "/v1/members") return Answer(200, MembersJson(report().members));
     if (request.path == "/metrics") {
--- a/src/node/node_admin.h
+++ b/src/node/node_admin.h
@@ -23,6 +23,7 @@
   std::vector<Member> members;
   LocalBackendServer server;
   std::uint64_t crashes = 0;  ///< Of the backend server while requests ran on it.
+  std::shared_ptr<const CrashingRequests> crashing;  ///< Null when none are known.
   CallCounts calls;
   std::size_t key_records = 0;
   std::size_t key_bytes = 0;
--- a/tests/calls/crashing_requests_test.cc
+++ b/tests/calls/crashing_requests_test.cc
@@ -51,6 +51,18 @@
             (Digests{10, 20}));
 }
 
+TEST(CrashingRequestsTest, AnAcquittalCoversTheCrashesThatItNames) {
+  const std::vector<CrashReport> reports = {Crash(1, {10}), Crash(2, {10})};
+  const CrashingRequests found(reports);
+  const auto* entry = found.Find("000000000000000a");
+  ASSERT_NE(entry, nullptr);
+  const Acquittal acquittal{10, entry->crashes};
+  EXPECT_TRUE(CrashingRequests(reports, {acquittal}).empty());
+  const std::vector<CrashReport> more = {Crash(1, {10}), Crash(2, {10}), Crash(3, {10}),
+                                         Crash(4, {10})};
+  EXPECT_FALSE(CrashingRequests(more, {acquittal}).empty()) << "it crashed two more";
+}
+
 TEST(CrashingRequestsTest, JudgesByHeadAndBody) {
   RequestIdentity known("POST", "h", "/p", {});
   known.AppendBody("bad");
--- a/tests/node/crash_log_test.cc
+++ b/tests/node/crash_log_test.cc
@@ -54,6 +54,17 @@
   EXPECT_EQ(Ids(), (std::set<std::uint64_t>{98, 99, 100}));
 }
 
+TEST_F(CrashLogTest, AcquittalsExpireAndAreBounded) {
+  for (std::uint64_t digest = 0; digest < 20; ++digest) log_.Acquit({digest, {1, 2}});
+  log_.Acquit({19, {3}});
+  const ServerObservations observations = Observations();
+  EXPECT_EQ(observations.acquittals_size(), 4);
+  EXPECT_EQ(observations.acquittals(3).crashes(0), 3u);
+  clock_.Advance(kCrashRetention);
+  EXPECT_TRUE(log_.DropExpired());
+  EXPECT_EQ(Observations().acquittals_size(), 0);
+}
+
 // Guards against a flood that makes the fleet forget a known cause.
 TEST_F(CrashLogTest, CrashesWithAKnownCauseAreDroppedLast) {
   log_.Add(Crash(1, 20));
