--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -280,9 +280,10 @@
 void NodeDistribution::Core::RefreshCrashingRequests() {
   ServerObservations observations;
   for (const auto& [name, entry] : membership_->table().entries()) {
-    observations.MergeFrom(entry.member.server().observations());
+    const ServerObservations& observed = entry.member.server().observations();
+    observations.mutable_crashes()->MergeFrom(observed.crashes());
+    observations.mutable_acquittals()->MergeFrom(observed.acquittals());
   }
-  observations.clear_departure();
   std::string serialized = observations.SerializeAsString();
   if (serialized == observations_) return;
   observations_ = std::move(serialized);
--- a/src/plugins/http1_beast/http1_connection_manager.cc
+++ b/src/plugins/http1_beast/http1_connection_manager.cc
@@ -38,8 +38,12 @@
   std::shared_ptr<Http1ClientConnection> connection;
   {
     std::lock_guard<std::mutex> lock(mutex_);
-    connection = AddConnectionLocked(peer);
+    const auto it = peers_.find(peer);
+    const std::size_t open = it == peers_.end() ? 0 : it->second.connections;
+    if (open < options_.max_connections_per_peer) connection = AddConnectionLocked(peer);
   }
+  // With all connections in use, the peer can be reached.
+  if (!connection) return done(true);
   connection->Open(std::move(done));
 }
 
