--- a/src/libquetzal/net/stream.h
+++ b/src/libquetzal/net/stream.h
@@ -100,7 +100,7 @@
 
   /// Opens a connection for later streams. Calls `done` once, with false if none could be
   /// opened; true at once where the transport has no use for it.
-  virtual void Connect(const Endpoint& /*peer*/, std::function<void(bool)> done) {
+  virtual void Connect(const Endpoint& /*peer*/, const std::function<void(bool)>& done) {
     done(true);
   }
 
--- a/src/plugins/http1_beast/http1_transport.cc
+++ b/src/plugins/http1_beast/http1_transport.cc
@@ -69,8 +69,9 @@
   return stream;
 }
 
-void Http1Transport::Connect(const Endpoint& peer, std::function<void(bool)> done) {
-  manager_->Connect(peer, std::move(done));
+void Http1Transport::Connect(const Endpoint& peer,
+                             const std::function<void(bool)>& done) {
+  manager_->Connect(peer, done);
 }
 
 void Http1Transport::Drain() {
--- a/src/plugins/http1_beast/http1_transport.h
+++ b/src/plugins/http1_beast/http1_transport.h
@@ -45,7 +45,7 @@
   void PrepareDrain() override { manager_->Drain(); }
 
   /// Also stops listening.
-  void Connect(const Endpoint& peer, std::function<void(bool)> done) override;
+  void Connect(const Endpoint& peer, const std::function<void(bool)>& done) override;
   void Drain() override;
   std::size_t open_streams() const override;
 
--- a/tests/calls/sim_net.h
+++ b/tests/calls/sim_net.h
@@ -158,7 +158,7 @@
   std::shared_ptr<Stream> Open(const Endpoint& peer, const std::string& path,
                                StreamHeaders headers, bool end,
                                std::shared_ptr<StreamHandler> handler) override;
-  void Connect(const Endpoint& peer, std::function<void(bool)> done) override {
+  void Connect(const Endpoint& peer, const std::function<void(bool)>& done) override {
     net_->loop->Schedule(2 * net_->delay, [net = net_, peer, alive = alive_, done] {
       const bool listens =
           net->down.count(peer.address) == 0 && net->listeners.count(peer) > 0;
