Gossip: an update that fits no datagram does not hold back the others

Read again as a newcomer: a node's observations were bounded to more than a datagram of 1,200 bytes holds (64 requests, 16 crashes, 4 acquittals), and the gossip queue stops at the first update that does not fit. A record that never fits would have stopped all gossip of the nodes that relay it.

AnUpdateThatFitsNoDatagramIsSentAlone failed before (0 of either sent, the queue never empty) and passes. A crash whose requests have all finished before is not published; server.crashed says suspects, as it leaves these out. membership_test 54, node_test's crash tests 12, distribution_test pass.

--- a/src/libquetzal/membership/gossip_queue.cc
+++ b/src/libquetzal/membership/gossip_queue.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t kFieldBytes = 3;  // Tag and length of an element of a list.
+/// Of a datagram without updates; at most about this much.
+constexpr std::size_t kEnvelopeBytes = 150;
 /// Each update is sent this often per power of ten of the fleet size.
 constexpr double kSendsPerMagnitude = 4;
 
@@ -48,8 +50,12 @@
   });
   std::size_t used = datagram->ByteSizeLong();
   std::vector<std::string> finished;
+  bool first = true;
   for (const auto& [sent, size, name] : order) {
-    if (used + size > bytes) break;
+    // An update that is too long for any datagram must not hold back the others.
+    const bool fits_alone = size + kEnvelopeBytes <= bytes;
+    if (used + size > bytes && (fits_alone || !first)) break;
+    first = false;
     used += size;
     Item& item = updates_[*name];
     if (item.is_reachability) {
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -235,8 +235,9 @@
   }
   events_->Emit({"server.crashed",
                  {{"server", crash_detector_.crashed_server()},
-                  {"running", std::to_string(crash->requests.size())},
+                  {"suspects", std::to_string(crash->requests.size())},
                   {"requests", requests}}});
+  if (crash->requests.empty()) return;
   crash_log_.Add(*crash);
   SetServerLocked(server_);
 }
--- a/src/libquetzal/node/crash_log.cc
+++ b/src/libquetzal/node/crash_log.cc
@@ -8,9 +8,9 @@
 namespace {
 
 /// Together with the rest of its member record they fit into one datagram.
-constexpr std::size_t kMaxRequests = 64;
-constexpr std::size_t kMaxCrashes = 16;
-constexpr std::size_t kMaxAcquittals = 4;
+constexpr std::size_t kMaxRequests = 40;
+constexpr std::size_t kMaxCrashes = 10;
+constexpr std::size_t kMaxAcquittals = 2;
 constexpr std::size_t kMaxCrashesOfAcquittal = 8;
 
 }  // namespace
--- a/tests/membership/member_table_test.cc
+++ b/tests/membership/member_table_test.cc
@@ -80,6 +80,27 @@
   EXPECT_EQ(table.Digest(), empty.Digest());
 }
 
+// Guards against an update that is longer than a datagram and holds back all others.
+TEST(GossipQueue, AnUpdateThatFitsNoDatagramIsSentAlone) {
+  GossipQueue queue;
+  Member large = Record(1, 1, MEMBER_ALIVE);
+  ServerCrash* crash = large.mutable_server()->mutable_observations()->add_crashes();
+  for (std::uint64_t n = 0; n < 200; ++n) crash->add_digests(n);
+  queue.Add(large);
+  Member other = Record(1, 1, MEMBER_ALIVE);
+  other.set_instance("haro-2");
+  queue.Add(other);
+  std::map<std::string, int> sent;
+  for (int n = 0; n < 100 && !queue.empty(); ++n) {
+    GossipDatagram datagram;
+    queue.Fill(1200, 12, true, &datagram);
+    for (const Member& member : datagram.news()) ++sent[member.instance()];
+  }
+  EXPECT_TRUE(queue.empty());
+  EXPECT_GT(sent["haro-1"], 0);
+  EXPECT_EQ(sent["haro-1"], sent["haro-2"]);
+}
+
 TEST(GossipQueue, StaysWithinTheDatagramAndSendsEachUpdateEquallyOften) {
   GossipQueue queue;
   for (int n = 0; n < 100; ++n) {
