--- a/src/libquetzal/base/result_code.h
+++ b/src/libquetzal/base/result_code.h
@@ -30,6 +30,8 @@
   kPlanOutdated = 2011,
   kPlanCancelled = 2012,
   kIntentConfirmed = 2013,
+  kRolloutInProgress = 2014,
+  kRolloutUnknown = 2015,
   kNotRun = 2020,
   kPending = 2021,
   kUnreachable = 2022,
@@ -70,6 +72,9 @@
   kRequestCrashesServers = 5024,
   kNodeStarting = 5030,
   kNodeStopping = 5031,
+  kCredentialUnknown = 5040,
+  kCredentialUnproved = 5041,  ///< It may have been withdrawn meanwhile.
+  kQuotaExceeded = 5042,
 
   kRequestMalformed = 6001,
   kRequestTooLarge = 6002,
