Configuration: deltas carry teams and rollouts; calls carry a team

Change: deltas merge and compare teams and rollouts, a call between nodes may state its team and the configuration that it was routed with, and a target may state a version. Result: no behaviour changes without teams or rollouts; built, not measured.

--- a/src/libquetzal/calls/call_headers.cc
+++ b/src/libquetzal/calls/call_headers.cc
@@ -30,6 +30,8 @@
 constexpr char kRefusalField[] = "x-qz-refusal";
 constexpr char kExpectField[] = "x-qz-expect";
 constexpr char kExpectContinue[] = "continue";
+constexpr char kTeamField[] = "x-qz-team";
+constexpr char kConfigurationField[] = "x-qz-configuration";
 
 constexpr std::uint64_t kMaxRemainingNs = 24ULL * 3600 * 1'000'000'000;
 constexpr std::uint64_t kMaxHops = 1'000'000;
@@ -156,6 +158,10 @@
     headers.emplace_back(kIncarnationField, std::to_string(head.incarnation));
   }
   if (head.expects_continue) headers.emplace_back(kExpectField, kExpectContinue);
+  if (!head.team.empty()) headers.emplace_back(kTeamField, head.team);
+  if (head.configuration_index) {
+    headers.emplace_back(kConfigurationField, std::to_string(*head.configuration_index));
+  }
   headers.insert(headers.end(), fields.begin(), fields.end());
   return headers;
 }
@@ -173,6 +179,9 @@
   head.objective = ParseMicros(HeaderValue(headers, kObjectiveField));
   head.max_wait = ParseMicros(HeaderValue(headers, kMaxWaitField));
   head.rate_limit = ParseRate(HeaderValue(headers, kRateLimitField));
+  head.team = HeaderValue(headers, kTeamField);
+  head.configuration_index =
+      ParseNumber(HeaderValue(headers, kConfigurationField), UINT64_MAX);
   head.idempotent = HeaderValue(headers, kIdempotentField) == "1";
   head.expects_continue = HeaderValue(headers, kExpectField) == kExpectContinue;
   const auto priority = ParseNumber(HeaderValue(headers, kPriorityField), kMaxCount);
--- a/src/libquetzal/calls/call_headers.h
+++ b/src/libquetzal/calls/call_headers.h
@@ -46,6 +46,9 @@
   /// Requests per second that the server takes, as its last answer to the sender states.
   std::optional<double> rate_limit;
   bool expects_continue = false;  ///< Runs only after its sender's confirmation.
+  std::string team;               ///< Of the caller; empty: not stated.
+  /// Log index of the configuration that the sender used; only during a rollout.
+  std::optional<std::uint64_t> configuration_index;
 };
 
 /// Interim statuses, sent before an answer; defined in RFC 9110 and RFC 2518.
--- a/src/libquetzal/calls/routing_snapshot.h
+++ b/src/libquetzal/calls/routing_snapshot.h
@@ -21,6 +21,7 @@
   std::string service;
   std::uint32_t slots = 0;
   ServerState state = SERVER_NONE;
+  std::string version;  ///< Of the server's software; empty: not stated.
 };
 
 /// Routing data of a node: one confirmed configuration and the live backend servers.
--- a/src/libquetzal/configuration/configuration_delta.cc
+++ b/src/libquetzal/configuration/configuration_delta.cc
@@ -129,14 +129,21 @@
     *delta.mutable_data_centres() = to.data_centres();
     delta.set_replaces_data_centres(true);
   }
+  DiffNamed(from.teams(), to.teams(), delta.mutable_set_teams(),
+            delta.mutable_removed_teams());
+  if (!SameMessages(from.rollouts(), to.rollouts())) {
+    *delta.mutable_rollouts() = to.rollouts();
+    delta.set_replaces_rollouts(true);
+  }
   return delta;
 }
 
-void CopyAllButServicesAndRoutes(const Configuration& from, Configuration* to) {
+void CopyAllButNamedLists(const Configuration& from, Configuration* to) {
   *to->mutable_leaving() = from.leaving();
   if (from.has_policy()) *to->mutable_policy() = from.policy();
   *to->mutable_key_groups() = from.key_groups();
   *to->mutable_data_centres() = from.data_centres();
+  *to->mutable_rollouts() = from.rollouts();
 }
 
 std::shared_ptr<const Configuration> ApplyDelta(const Configuration& base,
@@ -146,17 +153,20 @@
   options.max_block_size = kArenaBlockBytes;
   auto arena = std::make_shared<google::protobuf::Arena>(options);
   auto* const result = google::protobuf::Arena::CreateMessage<Configuration>(arena.get());
-  CopyAllButServicesAndRoutes(base, result);
+  CopyAllButNamedLists(base, result);
   MergeNamed<Service>("service", base.services(), delta.set_services(),
                       delta.removed_services(), result->mutable_services());
   MergeNamed<Route>("route", base.routes(), delta.set_routes(), delta.removed_routes(),
                     result->mutable_routes());
+  MergeNamed<Team>("team", base.teams(), delta.set_teams(), delta.removed_teams(),
+                   result->mutable_teams());
   MergeLeaving(delta, result);
   if (delta.has_policy()) *result->mutable_policy() = delta.policy();
   if (delta.replaces_key_groups()) *result->mutable_key_groups() = delta.key_groups();
   if (delta.replaces_data_centres()) {
     *result->mutable_data_centres() = delta.data_centres();
   }
+  if (delta.replaces_rollouts()) *result->mutable_rollouts() = delta.rollouts();
   CheckConfiguration(*result);
   return {arena, result};
 }
--- a/src/libquetzal/configuration/configuration_delta.h
+++ b/src/libquetzal/configuration/configuration_delta.h
@@ -15,8 +15,8 @@
 std::shared_ptr<const Configuration> ApplyDelta(const Configuration& base,
                                                 const ConfigurationDelta& delta);
 
-/// Copies all parts of a configuration except its services and routes.
-void CopyAllButServicesAndRoutes(const Configuration& from, Configuration* to);
+/// Copies all parts of a configuration except its services, routes and teams.
+void CopyAllButNamedLists(const Configuration& from, Configuration* to);
 
 /// Returns true when both configurations are equal.
 bool SameConfiguration(const Configuration& a, const Configuration& b);
--- a/src/libquetzal/control/intent_machine.cc
+++ b/src/libquetzal/control/intent_machine.cc
@@ -89,6 +89,8 @@
       return EndGroupChange(at, entry);
     case ControlEntry::kReplace:
       return Replace(at, entry);
+    case ControlEntry::kStartRollout:
+    case ControlEntry::kAdvanceRollout:
     case ControlEntry::KIND_NOT_SET:
       break;
   }
--- a/src/libquetzal/control/intent_machine_order.cc
+++ b/src/libquetzal/control/intent_machine_order.cc
@@ -32,7 +32,7 @@
                              " is not above the current number ", order_number_, "."));
   }
   Configuration next;
-  CopyAllButServicesAndRoutes(*configuration_, &next);
+  CopyAllButNamedLists(*configuration_, &next);
   std::string bytes;
   try {
     bytes =
