Control: rollouts in the replicated state, order and query API

Cause: the platform moves services to new server versions; control instances had the messages, but refused the log entries. Configurations are checked for legal rollouts.

--- a/src/control/control_program.cc
+++ b/src/control/control_program.cc
@@ -1,6 +1,7 @@
 #include "control/control_program.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -198,7 +199,9 @@
       OrderService::Dependencies{agreement_.get(), machine_.get(), rpc_client_.get(),
                                  rpc_server_.get(), control_executor_.get(), clock_,
                                  &events_},
-      peers);
+      peers,
+      static_cast<std::uint32_t>(
+          std::lround(settings_.Ratio("rollout-share") * kMaxRolloutSharePermille)));
   order_interface_ = OrderInterfaceRegistry::Instance().Create(
       settings_.Text("order-interface"), orders_.get());
   order_server_ = AdminServerRegistry::Instance().Create("cpprest");
--- a/src/control/main.cc
+++ b/src/control/main.cc
@@ -35,6 +35,9 @@
        "accepted."},
       {"order-interface", K::kText, "", "", 0, 0, false,
        "Name of the plug-in that reads the orders."},
+      {"rollout-share", K::kRatio, "", "0.1", 0, 0, false,
+       "Largest share of a service's requests that servers of a new version get during "
+       "a rollout."},
       {"key-groups", K::kFlag, "", "true", 0, 0, false,
        "Keep groups of holders of idempotency keys."},
       {"bootstrap", K::kFlag, "", "false", 0, 0, false,
--- a/src/libquetzal/configuration/configuration_limits.h
+++ b/src/libquetzal/configuration/configuration_limits.h
@@ -30,6 +30,10 @@
 constexpr std::uint32_t kMaxRetryBudgetPercent = 100;
 constexpr std::uint32_t kMaxDrainLimitMs = 600'000;
 constexpr std::uint32_t kMaxKeyRetentionMs = 604'800'000;
+constexpr std::size_t kMaxServerVersionBytes = 128;
+constexpr std::uint32_t kMaxRolloutDurationMs = 86'400'000;
+constexpr std::uint32_t kMaxRolloutSharePermille = 1000;
+constexpr std::uint32_t kDefaultRolloutSharePermille = 100;
 
 }  // namespace quetzal
 
--- a/src/libquetzal/control/intent_machine.cc
+++ b/src/libquetzal/control/intent_machine.cc
@@ -90,7 +90,9 @@
     case ControlEntry::kReplace:
       return Replace(at, entry);
     case ControlEntry::kStartRollout:
+      return StartRolloutOf(at, entry);
     case ControlEntry::kAdvanceRollout:
+      return AdvanceRolloutOf(at, entry);
     case ControlEntry::KIND_NOT_SET:
       break;
   }
--- a/src/libquetzal/control/intent_machine.h
+++ b/src/libquetzal/control/intent_machine.h
@@ -90,6 +90,12 @@
   bool IsAcceptedLocked(const ReplaceConfiguration& order) const;
   void AcceptLocked(const ReplaceConfiguration& order, std::string content);
 
+  // Rollouts of services (intent_machine_rollout.cc).
+  ControlResult StartRolloutOf(const Version& at, const ControlEntry& entry);
+  ControlResult AdvanceRolloutOf(const Version& at, const ControlEntry& entry);
+  void SetRolloutLocked(const Version& at, std::uint64_t micros, const Rollout& rollout,
+                        const std::string& step);
+
   // Changes of the control instances (intent_machine_group.cc).
   IntentRecord* GroupChangeLocked();
   void CheckNoGroupChangeLocked(const ControlInstanceChange& change);
--- a/src/libquetzal/control/intent_machine_order.cc
+++ b/src/libquetzal/control/intent_machine_order.cc
@@ -7,6 +7,7 @@
 #include "base/result_code.h"
 #include "configuration/configuration_check.h"
 #include "configuration/configuration_delta.h"
+#include "configuration/rollout_list.h"
 #include "control/intent_machine.h"
 #include "control/intent_record.h"
 
@@ -43,6 +44,7 @@
     }
     next.mutable_services()->Swap(content.mutable_configuration()->mutable_services());
     next.mutable_routes()->Swap(content.mutable_configuration()->mutable_routes());
+    RemoveOrphanedRollouts(&next);
     CheckConfiguration(next);
   } catch (const Error& error) {
     return MakeResult(error.code(), error.what());
--- a/src/libquetzal/control/order_service.cc
+++ b/src/libquetzal/control/order_service.cc
@@ -1,10 +1,13 @@
 #include "control/order_service.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <xxhash.h>
 
 #include "base/result_code.h"
+#include "configuration/rollout_list.h"
 #include "control/intent_record.h"
 
 namespace quetzal {
@@ -34,8 +37,11 @@
 
 }  // namespace
 
-OrderService::OrderService(const Dependencies& dependencies, PeerSource peers)
-    : dependencies_(dependencies), peers_(std::move(peers)) {}
+OrderService::OrderService(const Dependencies& dependencies, PeerSource peers,
+                           std::uint32_t max_share_permille)
+    : dependencies_(dependencies),
+      peers_(std::move(peers)),
+      max_share_permille_(max_share_permille) {}
 
 void OrderService::Start() {
   dependencies_.rpc_server->Serve(
@@ -85,8 +91,44 @@
   });
 }
 
+void OrderService::StartRollout(const RolloutOrder& order, StartRolloutDone done) {
+  ForwardedOrder message;
+  quetzal::StartRollout* start = message.mutable_start_rollout();
+  start->set_service(order.service);
+  start->set_version(order.version);
+  // A duration that does not fit is above the limit and is refused as such.
+  constexpr auto kMaxMillis = std::int64_t{std::numeric_limits<std::uint32_t>::max()};
+  start->set_duration_ms(static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(order.duration.count(), 0, kMaxMillis)));
+  start->set_max_share_permille(max_share_permille_);
+  dependencies_.executor->Post([this, message = std::move(message),
+                                done = std::move(done)] {
+    Dispatch(message,
+             [this, start = message.start_rollout(), done](const OrderAnswer& answer) {
+               const ResultCode code = ResultCodeFromInt(answer.code());
+               dependencies_.events->Emit({"rollout.answered",
+                                           {{"service", start.service()},
+                                            {"target", start.version()},
+                                            {"code", std::string(InfoOf(code).name)},
+                                            {"reason", answer.message()}}});
+               done(code, answer.message());
+             });
+  });
+}
+
+void OrderService::ReadRollout(const std::string& service, ReadRolloutDone done) {
+  ForwardedOrder message;
+  message.set_rollout_of(service);
+  dependencies_.executor->Post(
+      [this, message = std::move(message), done = std::move(done)] {
+        Dispatch(message, [done](const OrderAnswer& answer) {
+          done(ResultCodeFromInt(answer.code()), answer.rollout());
+        });
+      });
+}
+
 void OrderService::Dispatch(const ForwardedOrder& order, const Done& done) {
-  if (order.has_replace()) return Propose(order, done);
+  if (order.has_replace() || order.has_start_rollout()) return Propose(order, done);
   ReadLocal(order, done);
 }
 
@@ -96,7 +138,11 @@
       static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
                                      dependencies_.clock->WallNow().time_since_epoch())
                                      .count()));
-  *entry.mutable_replace() = dependencies_.machine->Pack(order.replace());
+  if (order.has_start_rollout()) {
+    *entry.mutable_start_rollout() = order.start_rollout();
+  } else {
+    *entry.mutable_replace() = dependencies_.machine->Pack(order.replace());
+  }
   dependencies_.agreement->Propose(
       entry.SerializeAsString(),
       [this, order, done](ResultCode code, LogPosition, const std::string& result) {
@@ -125,16 +171,27 @@
       if (code != ResultCode::kOk) {
         return done(MakeAnswer(code, std::string(InfoOf(code).meaning)));
       }
-      const std::optional<std::string> document = dependencies_.machine->document();
-      OrderAnswer answer =
-          document ? MakeAnswer(ResultCode::kOk, "")
-                   : MakeAnswer(ResultCode::kPending, "no configuration is active");
-      if (document) answer.set_document(*document);
-      done(answer);
+      done(AnswerRead(order));
     });
   });
 }
 
+OrderAnswer OrderService::AnswerRead(const ForwardedOrder& order) const {
+  if (order.rollout_of().empty()) {
+    const std::optional<std::string> document = dependencies_.machine->document();
+    if (!document) return MakeAnswer(ResultCode::kPending, "no configuration is active");
+    OrderAnswer answer = MakeAnswer(ResultCode::kOk, "");
+    answer.set_document(*document);
+    return answer;
+  }
+  const auto configuration = dependencies_.machine->configuration();
+  const Rollout* rollout = FindRollout(*configuration, order.rollout_of());
+  if (rollout == nullptr) return MakeAnswer(ResultCode::kRolloutUnknown, "");
+  OrderAnswer answer = MakeAnswer(ResultCode::kOk, "");
+  *answer.mutable_rollout() = *rollout;
+  return answer;
+}
+
 void OrderService::Forward(const ForwardedOrder& order, const Done& done) {
   const std::vector<Endpoint> peers = peers_();
   if (order.hops() >= kMaxHops || peers.empty()) {
--- a/src/libquetzal/control/order_service.h
+++ b/src/libquetzal/control/order_service.h
@@ -1,6 +1,7 @@
 #ifndef QUETZAL_CONTROL_ORDER_SERVICE_H_
 #define QUETZAL_CONTROL_ORDER_SERVICE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -9,6 +10,7 @@
 
 #include "agreement/agreement.h"
 #include "base/event_log.h"
+#include "configuration/configuration_limits.h"
 #include "control/intent_machine.h"
 #include "kernel/executor.h"
 #include "net/rpc.h"
@@ -23,9 +25,17 @@
   Configuration configuration;
 };
 
+/// An order that moves a service to servers of another version.
+struct RolloutOrder {
+  std::string service;
+  std::string version;  ///< As the new servers announce it.
+  std::chrono::milliseconds duration{0};
+};
+
 /// Accepts orders and returns the document of the current one, on every control instance.
-/// Forwards requests that only the leader can serve. Replace and Read may be called from
-/// any thread; each callback runs exactly once, on the executor.
+/// Forwards requests that only the leader can serve. Replace, Read, StartRollout and
+/// ReadRollout may be called from any thread; each callback runs exactly once, on the
+/// executor.
 class OrderService {
  public:
   /// kOk: the order is active, or was accepted before. kPlanOutdated,
@@ -36,6 +46,14 @@
   /// cannot be determined now.
   using ReadDone = std::function<void(ResultCode code, const std::string& document)>;
 
+  /// kOk: the rollout is in the log, or was accepted before. kRolloutInProgress,
+  /// kConfigurationInvalid: refused. Any other code: the outcome is unknown.
+  using StartRolloutDone = ReplaceDone;
+
+  /// kOk: `rollout` is the last one of the service. kRolloutUnknown: there was none. Any
+  /// other code: it cannot be determined now.
+  using ReadRolloutDone = std::function<void(ResultCode code, const Rollout& rollout)>;
+
   /// Stream addresses of control instances to forward to, the best candidate first.
   using PeerSource = std::function<std::vector<Endpoint>()>;
 
@@ -49,13 +67,17 @@
     EventLog* events = nullptr;
   };
 
-  OrderService(const Dependencies& dependencies, PeerSource peers);
+  /// `max_share_permille` limits the share of new servers in rollouts that start here.
+  OrderService(const Dependencies& dependencies, PeerSource peers,
+               std::uint32_t max_share_permille = kDefaultRolloutSharePermille);
 
   /// Serves orders and reads that other control instances forward.
   void Start();
 
   void Replace(const ConfigurationOrder& order, ReplaceDone done);
   void Read(ReadDone done);
+  void StartRollout(const RolloutOrder& order, StartRolloutDone done);
+  void ReadRollout(const std::string& service, ReadRolloutDone done);
 
  private:
   using Done = std::function<void(const OrderAnswer& answer)>;
@@ -63,12 +85,14 @@
   void Dispatch(const ForwardedOrder& order, const Done& done);
   void Propose(const ForwardedOrder& order, const Done& done);
   void ReadLocal(const ForwardedOrder& order, const Done& done);
+  OrderAnswer AnswerRead(const ForwardedOrder& order) const;
   void Forward(const ForwardedOrder& order, const Done& done);
   void OnProposed(const ForwardedOrder& order, ResultCode code, const std::string& bytes,
                   const Done& done);
 
   Dependencies dependencies_;
   PeerSource peers_;
+  const std::uint32_t max_share_permille_;
 };
 
 }  // namespace quetzal
--- a/tests/control/control_fakes.h
+++ b/tests/control/control_fakes.h
@@ -171,7 +171,7 @@
   }
 
   void ReadBarrier(ReadDone done) override {
-    done(view.leading ? ResultCode::kOk : ResultCode::kNoQuorum);
+    done(view.leading ? ResultCode::kOk : follower_read_code);
   }
 
   LeadershipView leadership() const override { return view; }
@@ -198,6 +198,7 @@
   std::vector<GroupMember> members;
   std::vector<MembershipChange> changes;
   ResultCode membership_code = ResultCode::kOk;
+  ResultCode follower_read_code = ResultCode::kNoQuorum;  ///< kNotLeader: may forward.
   std::deque<ProposalOutcome> next_outcomes;
 
  private:
