Versions of backend servers decide their requests during a rollout

Cause: a service moves to another version of its servers beside the old ones. Nodes did not know the version of a server, so a new version got its full part of the requests at once. Change: the version of a heartbeat goes into the member record and the routing targets. RolloutRouter decides by the state of the rollout which targets a request may use, and keeps each node below the share of the requests that reach a server. A call states the index of its configuration; the node of a new server refuses one that is older than the rollout (4006). Counts of responses by version and route go with the acknowledgements. Distribution tests not run yet.

--- a/src/libquetzal/base/result_code.cc
+++ b/src/libquetzal/base/result_code.cc
@@ -58,6 +58,8 @@
        "A received configuration is older than the applied one."},
       {C::kStaleIncarnation, "stale_incarnation", 409, true,
        "The message belongs to an earlier incarnation of an instance."},
+      {C::kConfigurationOutdated, "configuration_outdated", 503, true,
+       "The sender's configuration is older than the rollout of the server's version."},
       {C::kMessageMalformed, "message_malformed", 400, true,
        "A message between instances cannot be read."},
       {C::kNoRoute, "no_route", 404, true, "No route matches the request."},
--- a/src/libquetzal/base/result_code.h
+++ b/src/libquetzal/base/result_code.h
@@ -49,6 +49,7 @@
   kConfigurationInvalid = 4003,
   kVersionWouldRevert = 4004,
   kStaleIncarnation = 4005,
+  kConfigurationOutdated = 4006,
   kMessageMalformed = 4010,
 
   kNoRoute = 5001,
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -19,6 +19,9 @@
 /// confirmed: enough for some retransmissions on a lossy link.
 constexpr Duration kConfirmTimeout = std::chrono::milliseconds(600);
 
+/// A node that is connected applies a change of a rollout within this time.
+constexpr Duration kOutdatedRetryAfter = std::chrono::milliseconds(500);
+
 }  // namespace
 
 class BackendCall::BackendHandler final : public StreamHandler {
@@ -126,6 +129,9 @@
   if (context_->backend_server().service != head_.service) {
     return {ResultCode::kNoBackendServer, true, {}};
   }
+  if (HasOutdatedSender()) {
+    return {ResultCode::kConfigurationOutdated, true, kOutdatedRetryAfter};
+  }
   if (!keyed()) return {};
   // The key's record names one incarnation: another one would not know the outcome of the
   // attempt later.
@@ -143,6 +149,18 @@
   return {ResultCode::kOutcomeUnknown, false, {}};
 }
 
+/// True when the local server has the version of a rollout that the coordinating node may
+/// not know, or whose end it may not know.
+bool BackendCall::HasOutdatedSender() const {
+  const auto matcher = context_->matcher();
+  if (!matcher) return false;
+  const RoutingSnapshot& snapshot = matcher->snapshot();
+  const Rollout* rollout = FindRollout(*snapshot.configuration, head_.service);
+  return rollout != nullptr &&
+         RefusesCall(*rollout, context_->backend_server().version,
+                     head_.configuration_index, snapshot.version.index());
+}
+
 void BackendCall::OnDecision(const AdmissionDecision& decision) {
   const bool admitted = decision.code == ResultCode::kOk;
   holds_slot_ = admitted;
@@ -185,6 +203,10 @@
       break;
   }
   timer_.reset();
+  // The rollout may have been rolled back while the request was queued.
+  if (HasOutdatedSender()) {
+    return Refuse(ResultCode::kConfigurationOutdated, true, kOutdatedRetryAfter);
+  }
   sent_at_ = context_->Now();
   if (head_.expects_continue && sent_at_ >= deadline_) {
     return Refuse(ResultCode::kDeadlineExceeded, true, {});
--- a/src/libquetzal/calls/backend_call.h
+++ b/src/libquetzal/calls/backend_call.h
@@ -44,6 +44,7 @@
   void Start();
   bool keyed() const { return !head_.attempt_id.empty(); }
   Refusal Check();
+  bool HasOutdatedSender() const;
   void OnDecision(const AdmissionDecision& decision);
   void SendQueuedStatus();
   void RequestConfirmation();
--- a/src/libquetzal/calls/call_context.cc
+++ b/src/libquetzal/calls/call_context.cc
@@ -51,6 +51,12 @@
   }
   loads.Prune(*snapshot);
   budgets.SetNodes(snapshot->targets.size());
+  const bool same_configuration =
+      previous && previous->snapshot().configuration == snapshot->configuration;
+  if (!same_configuration) {
+    rollouts.Prune(*snapshot->configuration);
+    version_counters.Prune(*snapshot->configuration, snapshot->version.index());
+  }
   ApplyLimits();
   return fresh;
 }
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -19,7 +19,9 @@
 #include "calls/local_stream.h"
 #include "calls/refusal_rates.h"
 #include "calls/retry_budgets.h"
+#include "calls/rollout_router.h"
 #include "calls/route_matcher.h"
+#include "calls/version_counters.h"
 
 namespace quetzal {
 
@@ -61,6 +63,8 @@
   LoadTable loads;
   RetryBudgets budgets;
   RefusalRates refusal_rates;
+  RolloutRouter rollouts;
+  VersionCounters version_counters;
   CallerTimeoutEstimator caller_timeouts;
   AttemptTable attempts;
   FinishedRequests finished_requests;
--- a/src/libquetzal/calls/call_path.cc
+++ b/src/libquetzal/calls/call_path.cc
@@ -73,4 +73,10 @@
   return counts;
 }
 
+std::vector<VersionCounts> CallPath::version_counts() const {
+  // Drops the counts of rollouts that have ended, also when no requests arrive.
+  impl_->context->matcher();
+  return impl_->context->version_counters.Read();
+}
+
 }  // namespace quetzal
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -8,12 +8,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/random.h"
 #include "calls/request_fingerprint.h"
 #include "calls/routing_snapshot.h"
+#include "distribution.pb.h"
 #include "kernel/executor.h"
 #include "net/rpc.h"
 #include "net/stream.h"
@@ -93,6 +95,7 @@
   /// Of this and earlier servers of the node; null before the first one, also if earlier
   /// runs of the node had some that it has not learned yet.
   std::optional<ServerObservations> observations;
+  std::string version;  ///< Of the server's software; empty: not stated.
 };
 
 /// Counts since the start, for the metrics of a node.
@@ -138,6 +141,10 @@
 
   CallCounts counts() const;
 
+  /// Responses that this node received as coordinating node, by route and version, while
+  /// rollouts are running or shifting.
+  std::vector<VersionCounts> version_counts() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -59,7 +59,8 @@
       metadata_(context_->dialect().ReadCaller(headers)),
       caller_(caller),
       body_(context_->options.replay_bytes, caller),
-      answer_(context_->options.answer_bytes, caller, &context_->dialect()) {}
+      answer_(context_->options.answer_bytes, caller, &context_->dialect()),
+      rollout_(context_) {}
 
 void CallerCall::OnHeaders(StreamHeaders /*headers*/) {}
 
@@ -263,8 +264,12 @@
 }
 
 void CallerCall::Abandon() {
+  const bool sent = attempt_ && confirmed_;
   if (attempt_) attempt_->Reset();
-  EndAttempt(deadline_passed_ ? AttemptEnd::kFailed : AttemptEnd::kAbandoned);
+  EndAttempt(deadline_passed_ ? AttemptEnd::kFailed : AttemptEnd::kAbandoned,
+             !sent              ? VersionOutcome::kNotRun
+             : deadline_passed_ ? VersionOutcome::kFailed
+                                : VersionOutcome::kNoResult);
   EndCall();
 }
 
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -11,6 +11,7 @@
 #include "calls/call_context.h"
 #include "calls/call_dialect.h"
 #include "calls/call_headers.h"
+#include "calls/call_rollout.h"
 #include "calls/key_guard.h"
 #include "calls/request_body.h"
 #include "calls/serial_queue.h"
@@ -69,7 +70,7 @@
   std::optional<BackendTarget> ChooseShortestWait();
   void OpenAttempt();
   CallHead MakeHead() const;
-  void EndAttempt(AttemptEnd end);
+  void EndAttempt(AttemptEnd end, VersionOutcome outcome);
   bool MayRetry(bool uses_retry_budget);
   bool UsesRetryBudget(const Refusal& refusal) const;
   void RememberRefusal(const Refusal& refusal);
@@ -161,6 +162,7 @@
   SteadyTime Objective() const {
     return started_ - elapsed_before_ + std::chrono::milliseconds(route_->objective_ms());
   }
+  CallRollout rollout_;
   std::shared_ptr<KeyGuard> guard_;  ///< Of a non-idempotent request.
 };
 
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -36,7 +36,8 @@
 bool IsUnrelatedToLoad(ResultCode code) {
   return code == ResultCode::kServerLeaving || code == ResultCode::kNodeStopping ||
          code == ResultCode::kNodeStarting || code == ResultCode::kNoBackendServer ||
-         code == ResultCode::kStaleIncarnation;
+         code == ResultCode::kStaleIncarnation ||
+         code == ResultCode::kConfigurationOutdated;
 }
 
 }  // namespace
@@ -117,11 +118,15 @@
 bool CallerCall::HasUntriedInstance() {
   const auto matcher = RefreshRoute();
   if (!matcher) return false;
-  const auto& targets = matcher->Targets(service_);
-  return std::any_of(targets.begin(), targets.end(), [this](const BackendTarget* target) {
+  const auto is_untried = [this](const BackendTarget* target) {
     return target->state == SERVER_UP &&
            std::find(tried_.begin(), tried_.end(), target->instance) == tried_.end();
-  });
+  };
+  const auto has_untried = [&] {
+    const auto& targets = rollout_.Targets(*matcher, service_);
+    return std::any_of(targets.begin(), targets.end(), is_untried);
+  };
+  return has_untried() || (rollout_.UseOldVersion() && has_untried());
 }
 
 /// Probes a few instances for a free slot; when there is none, queues the request at the
@@ -138,17 +143,22 @@
 /// Null when no probed instance can answer within the objective.
 std::optional<BackendTarget> CallerCall::ChooseShortestWait() {
   const auto matcher = RefreshRoute();
-  const auto shortest =
-      std::min_element(full_.begin(), full_.end(),
-                       [](const auto& a, const auto& b) { return a.wait < b.wait; });
-  const FullInstance full = *shortest;
-  full_.erase(shortest);
-  RememberRefusal({ResultCode::kServerFull, true, full.wait});
-  if (!matcher || context_->Now() + full.wait > Objective()) return std::nullopt;
-  for (const BackendTarget* target : matcher->Targets(service_)) {
-    if (target->instance != full.instance || target->state != SERVER_UP) continue;
-    context_->loads.Begin(*target);
-    return *target;
+  const auto by_wait = [](const auto& a, const auto& b) { return a.wait < b.wait; };
+  std::stable_sort(full_.begin(), full_.end(), by_wait);
+  RememberRefusal({ResultCode::kServerFull, true, full_.front().wait});
+  if (!matcher) return std::nullopt;
+  const auto& targets = rollout_.Targets(*matcher, service_);
+  // An instance may have left, or be of a version that the request may not use any more.
+  for (std::size_t n = 0; n < full_.size(); ++n) {
+    const FullInstance full = full_[n];
+    if (context_->Now() + full.wait > Objective()) return std::nullopt;
+    for (const BackendTarget* target : targets) {
+      if (target->instance != full.instance || target->state != SERVER_UP) continue;
+      full_.erase(full_.begin(), full_.begin() + static_cast<std::ptrdiff_t>(n) + 1);
+      context_->loads.Begin(*target);
+      rollout_.Begin(*matcher, *target, route_->name());
+      return *target;
+    }
   }
   return std::nullopt;
 }
@@ -165,9 +175,14 @@
   if (service != nullptr) {
     options.slow_start = std::chrono::milliseconds(service->slow_start_ms());
   }
-  const BackendTarget* chosen =
-      context_->loads.Choose(matcher->Targets(service_), options);
-  return chosen == nullptr ? std::nullopt : std::optional(*chosen);
+  const auto choose = [&] {
+    return context_->loads.Choose(rollout_.Targets(*matcher, service_), options);
+  };
+  const BackendTarget* chosen = choose();
+  if (chosen == nullptr && rollout_.UseOldVersion()) chosen = choose();
+  if (chosen == nullptr) return std::nullopt;
+  rollout_.Begin(*matcher, *chosen, route_->name());
+  return *chosen;
 }
 
 void CallerCall::OpenAttempt() {
@@ -175,6 +190,7 @@
   // The record of a key shows the outcome of an attempt later. Requests of keyless routes
   // have no record and run only after this node's confirmation.
   confirmed_ = !route_->keyless();
+  rollout_.MarkSent();
   const StreamHeaders headers = EncodeCall(MakeHead(), fields_);
   const bool complete = confirmed_ && body_.ended() && body_.empty();
   auto handler = std::make_shared<AttemptHandler>(shared_from_this(), attempts_);
@@ -207,6 +223,7 @@
   head.expects_continue = !confirmed_;
   head.hops = hops_;
   head.via = via_;
+  head.configuration_index = rollout_.stated_index();
   if (guard_) {
     head.attempt_id = guard_->attempt_id();
     head.incarnation = target_->incarnation;
@@ -214,8 +231,9 @@
   return head;
 }
 
-void CallerCall::EndAttempt(AttemptEnd end) {
+void CallerCall::EndAttempt(AttemptEnd end, VersionOutcome outcome) {
   if (!target_) return;
+  rollout_.End(outcome);
   context_->loads.End(*target_, end);
   target_.reset();
   attempt_.reset();
@@ -298,7 +316,7 @@
 void CallerCall::OnReceiptTimeout() {
   if (context_->Now() - receipt_due_ > kMaxTimerDelay) return AwaitReceipt();
   attempt_->Reset();
-  EndAttempt(AttemptEnd::kUnresponsive);
+  EndAttempt(AttemptEnd::kUnresponsive, VersionOutcome::kNotRun);
   RetryOrRefuse({ResultCode::kTimeout, true, kMaxReceiptTimeout});
 }
 
@@ -314,7 +332,11 @@
     return OnAttemptLost(ResultCode::kAnswerCut);
   }
   if (!body_.ended()) attempt->Reset();
-  EndAttempt(answer_.server_error() ? AttemptEnd::kFailed : AttemptEnd::kAnswered);
+  if (answer_.server_error()) {
+    EndAttempt(AttemptEnd::kFailed, VersionOutcome::kFailed);
+  } else {
+    EndAttempt(AttemptEnd::kAnswered, VersionOutcome::kAnswered);
+  }
   ++servers_reached_;
   if (!guard_ && route_->idempotent() && answer_.unavailable() && MayRetry(true)) {
     // Sent to the caller if no other instance answers.
@@ -333,9 +355,15 @@
 void CallerCall::OnAttemptRefused(const Refusal& refusal) {
   if (!body_.ended()) attempt_->Reset();
   const bool failed = !refusal.not_run || refusal.code == ResultCode::kConnectFailed;
+  if (refusal.code == ResultCode::kConfigurationOutdated) {
+    rollout_.RecordRefusal(*target_);
+  }
   EndAttempt(failed                   ? AttemptEnd::kFailed
              : refusal.reached_server ? AttemptEnd::kRefusedByServer
-                                      : AttemptEnd::kRefusedByNode);
+                                      : AttemptEnd::kRefusedByNode,
+             !refusal.not_run         ? VersionOutcome::kFailed
+             : refusal.reached_server ? VersionOutcome::kNoResult
+                                      : VersionOutcome::kNotRun);
   if (requires_free_slot_ && refusal.code == ResultCode::kServerFull &&
       !refusal.reached_server && body_.replayable()) {
     full_.push_back({tried_.back(), refusal.retry_after});
@@ -349,9 +377,10 @@
 }
 
 void CallerCall::OnAttemptLost(ResultCode code) {
-  EndAttempt(AttemptEnd::kFailed);
   // Without a confirmation the admitting node never runs the request.
   const bool cannot_have_run = code == ResultCode::kConnectFailed || !confirmed_;
+  EndAttempt(AttemptEnd::kFailed,
+             cannot_have_run ? VersionOutcome::kNotRun : VersionOutcome::kFailed);
   const Refusal refusal{
       cannot_have_run ? ResultCode::kConnectFailed : ResultCode::kAnswerCut,
       cannot_have_run, kRetryAfter, !cannot_have_run};
@@ -373,13 +402,13 @@
 void CallerCall::OnClaimed() {
   if (!deadline_passed_ && !caller_disconnected_) return OpenAttempt();
   // Nothing was sent, and nothing will be.
-  EndAttempt(AttemptEnd::kAbandoned);
+  EndAttempt(AttemptEnd::kAbandoned, VersionOutcome::kNotRun);
   phase_ = Phase::kOutcome;
   guard_->ResolveNotRun();
 }
 
 void CallerCall::OnFree() {
-  EndAttempt(AttemptEnd::kAbandoned);
+  EndAttempt(AttemptEnd::kAbandoned, VersionOutcome::kNotRun);
   if (last_refusal_.code != ResultCode::kOk) {
     // The lost attempt is now known not to have run.
     if (!last_refusal_.not_run) {
@@ -396,14 +425,14 @@
 }
 
 void CallerCall::OnReplay(const KeyAnswer& answer) {
-  EndAttempt(AttemptEnd::kAbandoned);
+  EndAttempt(AttemptEnd::kAbandoned, VersionOutcome::kNotRun);
   answer_.SendReplay(answer);
   EmitOutcome(ResultCode::kOk);
   EndCall();
 }
 
 void CallerCall::OnKeyRefused(const Refusal& refusal) {
-  EndAttempt(AttemptEnd::kAbandoned);
+  EndAttempt(AttemptEnd::kAbandoned, VersionOutcome::kNotRun);
   Refuse(refusal);
 }
 
--- a/src/libquetzal/distribution/ack_table.cc
+++ b/src/libquetzal/distribution/ack_table.cc
@@ -8,6 +8,17 @@
 
 namespace {
 
+bool SameCounts(const NodeAck& a, const NodeAck& b) {
+  if (a.version_counts_size() != b.version_counts_size()) return false;
+  for (int n = 0; n < a.version_counts_size(); ++n) {
+    if (a.version_counts(n).SerializeAsString() !=
+        b.version_counts(n).SerializeAsString()) {
+      return false;
+    }
+  }
+  return true;
+}
+
 bool IsDeadOrLeft(MemberState state) {
   return state == MEMBER_DEAD || state == MEMBER_LEFT;
 }
@@ -16,7 +27,7 @@
   return a.incarnation() == b.incarnation() && IsSame(a.held(), b.held()) &&
          a.state() == b.state() && a.service() == b.service() &&
          a.refused_code() == b.refused_code() && IsSame(a.refused(), b.refused()) &&
-         a.stream_address() == b.stream_address();
+         a.stream_address() == b.stream_address() && SameCounts(a, b);
 }
 
 }  // namespace
--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -46,6 +46,8 @@
   FanoutSettings fanout = RelayFanout();
   std::size_t relay_threshold = 8;  ///< Fewer members use no relays.
   Duration ack_period = std::chrono::seconds(2);
+  /// Longest time until changed counts are reported while a rollout is under way.
+  Duration counts_period = std::chrono::milliseconds(500);
   Duration source_timeout =
       std::chrono::seconds(2);  ///< Without a heartbeat; one may be late.
   Duration pause_limit = std::chrono::seconds(5);
@@ -76,6 +78,10 @@
     /// Called on the executor with observations that this node, or an earlier incarnation
     /// of it, published; the same ones may be repeated. May be null.
     std::function<void(const ServerObservations&)> on_former_observations;
+
+    /// Returns the responses that this node has counted by version. Called on the executor
+    /// while a rollout is running or shifting. May be null.
+    std::function<std::vector<VersionCounts>()> version_counts;
   };
 
   /// State of a node as it sees itself.
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -266,6 +266,7 @@
       target.stream_address = *address;
       target.service = member.server().service();
       target.slots = member.server().slots();
+      target.version = member.server().version();
       target.state =
           member.state() == MEMBER_LEAVING ? SERVER_LEAVING : member.server().state();
       targets.push_back(std::move(target));
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -85,6 +85,8 @@
   void AskUpstream(std::uint64_t question);
   std::vector<std::string> SomeAddresses();
   NodeAck MakeAck() const;
+  void AddVersionCounts(NodeAck* ack) const;
+  void TickCounts();
   void RecordOwnAck();
   void SendAcksSoon();
   void SendAcks(const Acks& acks);
@@ -120,6 +122,7 @@
   SteadyTime departed_at_;
   SteadyTime next_heartbeat_;
   SteadyTime next_ack_;
+  SteadyTime next_counts_;
   SteadyTime behind_since_;
   SteadyTime next_repair_;
   SteadyTime next_poll_;
--- a/src/libquetzal/distribution/node_distribution_core_source.cc
+++ b/src/libquetzal/distribution/node_distribution_core_source.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "calls/rollout_router.h"
 #include "distribution/down_message.h"
 #include "distribution/node_distribution_core.h"
 #include "distribution/subscriber_acceptor.h"
 #include "membership/endpoint_text.h"
+#include "membership/version_order.h"
 
 namespace quetzal {
 
@@ -29,6 +31,15 @@
 constexpr char kVersionsMethod[] = "/distribution/versions";
 constexpr char kFetchMethod[] = "/distribution/fetch";
 
+/// Bounds the size of a report, which relays and control instances keep for each node.
+constexpr int kMaxVersionCounts = 64;
+
+bool HasRolloutUnderWay(const Configuration* configuration) {
+  if (configuration == nullptr) return false;
+  const auto& rollouts = configuration->rollouts();
+  return std::any_of(rollouts.begin(), rollouts.end(), IsUnderWay);
+}
+
 }  // namespace
 
 void NodeDistribution::Core::ServePeers() {
@@ -318,9 +329,32 @@
     ack.set_refused_code(static_cast<std::uint32_t>(refused_code_));
     *ack.mutable_refused() = refused_;
   }
+  AddVersionCounts(&ack);
   return ack;
 }
 
+/// Adds the counts of rollouts that are under way, at most kMaxVersionCounts entries.
+void NodeDistribution::Core::AddVersionCounts(NodeAck* ack) const {
+  const auto& configuration = configuration_.configuration().configuration;
+  if (!dependencies_.version_counts || !HasRolloutUnderWay(configuration.get())) return;
+  for (const VersionCounts& counts : dependencies_.version_counts()) {
+    const Rollout* rollout = FindRollout(*configuration, counts.service());
+    const bool under_way = rollout != nullptr && IsUnderWay(*rollout) &&
+                           IsSame(rollout->started(), counts.started());
+    if (!under_way || ack->version_counts_size() >= kMaxVersionCounts) continue;
+    *ack->add_version_counts() = counts;
+  }
+}
+
+void NodeDistribution::Core::TickCounts() {
+  const SteadyTime now = dependencies_.clock->Now();
+  if (now < next_counts_) return;
+  next_counts_ = now + settings_.counts_period;
+  if (HasRolloutUnderWay(configuration_.configuration().configuration.get())) {
+    RecordOwnAck();
+  }
+}
+
 void NodeDistribution::Core::RecordOwnAck() {
   ack_table_.RecordAck(MakeAck(), dependencies_.clock->Now());
   if (ack_table_.has_changes()) SendAcksSoon();
@@ -358,6 +392,7 @@
     upstream_nonce_ = 0;
     fanout_->AnswerQuestion(upstream_question_, false, Version());
   }
+  TickCounts();
   if (now < next_ack_) return;
   next_ack_ = now + settings_.ack_period;
   RecordOwnAck();
--- a/src/libquetzal/distribution/proxy_ack.cc
+++ b/src/libquetzal/distribution/proxy_ack.cc
@@ -19,6 +19,8 @@
     message.set_refused_code(static_cast<std::uint32_t>(ack.refused_code));
     *message.mutable_refused() = ack.refused;
   }
+  message.mutable_version_counts()->Assign(ack.version_counts.begin(),
+                                           ack.version_counts.end());
   return message;
 }
 
@@ -36,6 +38,8 @@
     ack.refused_code = ResultCodeFromInt(static_cast<int>(message.refused_code()));
     ack.refused = message.refused();
   }
+  ack.version_counts.assign(message.version_counts().begin(),
+                            message.version_counts().end());
   return ack;
 }
 
--- a/src/libquetzal/distribution/proxy_ack.h
+++ b/src/libquetzal/distribution/proxy_ack.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/result_code.h"
@@ -24,6 +25,7 @@
   Duration age{0};                            ///< Time since the node made the report.
   ResultCode refused_code = ResultCode::kOk;  ///< Why it refused version `refused`.
   Version refused;
+  std::vector<VersionCounts> version_counts;
 };
 
 /// Converts an acknowledgement to a message and back. `age` is the age of the report, in
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -60,6 +60,7 @@
 bool Same(const LocalBackendServer& a, const LocalBackendServer& b) {
   return a.service == b.service && a.address == b.address && a.slots == b.slots &&
          a.connections == b.connections && a.state == b.state && a.id == b.id &&
+         a.version == b.version &&
          a.observations.has_value() == b.observations.has_value() &&
          (!a.observations ||
           a.observations->SerializeAsString() == b.observations->SerializeAsString());
@@ -118,6 +119,7 @@
   server.slots = heartbeat.slots;
   server.state = departed || heartbeat.leaving ? SERVER_LEAVING : SERVER_UP;
   server.id = heartbeat.id;
+  server.version = heartbeat.version;
   SetServerLocked(std::move(server));
 }
 
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -26,6 +26,7 @@
   bool leaving = false;
   std::chrono::milliseconds start_time{};  ///< Of the incarnation, wall time since 1970.
   std::uint64_t sequence = 0;
+  std::string version;  ///< Of the server's software; empty: not stated.
 };
 
 /// Holds the last announcement of the local backend server and marks the server down when
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -160,6 +160,7 @@
       [this](const ServerObservations& observations) {
         backend_monitor_->RecordFormerObservations(observations);
       };
+  distribution_dependencies.version_counts = [this] { return calls_->version_counts(); };
   distribution_ = std::make_unique<NodeDistribution>(
       NodeIdentity{instance_, data_centre_, incarnation_, settings.Address("gossip"),
                    stream_address_, caller_address_},
@@ -266,6 +267,7 @@
   announced.set_slots(server.slots);
   announced.set_connections(server.connections);
   announced.set_state(server.state);
+  announced.set_version(server.version);
   if (server.observations) *announced.mutable_observations() = *server.observations;
   distribution_->SetBackendServer(announced);
 }
--- a/tests/calls/sim_cluster.cc
+++ b/tests/calls/sim_cluster.cc
@@ -169,6 +169,7 @@
 
 SimCluster::SimCluster(int count, std::uint32_t slots, const CallDialect* dialect)
     : states(count, SERVER_UP),
+      versions(count),
       slots_(slots),
       dialect_(dialect),
       caller_transport_(&net, kCallerHost, std::make_shared<bool>(true)) {
@@ -220,7 +221,8 @@
   node->random = std::make_unique<Random>(100 * n + node->incarnation);
   node->events = std::make_unique<TextEventLog>(&loop.clock, node->name, &lines);
   CallDependencies deps;
-  deps.routing = &routing;
+  node->routing = std::make_unique<NodeRouting>(&routing);
+  deps.routing = node->routing.get();
   deps.peers = node->transport.get();
   deps.backends = node->transport.get();
   deps.rpc_client = node->rpc.get();
@@ -254,7 +256,8 @@
 void SimCluster::SetState(std::size_t node, ServerState state) {
   states[node] = state;
   nodes[node].path->SetBackendServer(
-      {"desk", nodes[node].backend, slots_, 130, state, "i-" + nodes[node].name, {}});
+      {"desk", nodes[node].backend, slots_, 130, state, "i-" + nodes[node].name, {},
+       versions[node]});
 }
 
 void SimCluster::Distribute() {
@@ -264,7 +267,7 @@
   for (std::size_t n = 0; n < nodes.size(); ++n) {
     const SimNode& node = nodes[n];
     snapshot->targets.push_back({node.name, node.data_centre, node.incarnation,
-                                 node.streams, "desk", slots_, states[n]});
+                                 node.streams, "desk", slots_, states[n], versions[n]});
   }
   snapshot->crashing = crashing;
   routing.current = std::move(snapshot);
--- a/tests/calls/sim_cluster.h
+++ b/tests/calls/sim_cluster.h
@@ -119,6 +119,19 @@
   std::shared_ptr<const RoutingSnapshot> current;  ///< Null: none received yet.
 };
 
+/// The routing of one node: that of the cluster, or an earlier one that it is stuck with.
+class NodeRouting final : public RoutingSource {
+ public:
+  explicit NodeRouting(const FakeRouting* shared) : shared_(shared) {}
+  std::shared_ptr<const RoutingSnapshot> snapshot() const override {
+    return stuck ? stuck : shared_->current;
+  }
+  std::shared_ptr<const RoutingSnapshot> stuck;  ///< Null: follows the cluster.
+
+ private:
+  const FakeRouting* shared_;
+};
+
 /// Appends each event to a list, as a line with its time and node.
 class TextEventLog final : public EventLog {
  public:
@@ -145,6 +158,7 @@
   std::unique_ptr<SimRpc> rpc;
   std::unique_ptr<SimExecutor> executor;
   std::unique_ptr<FakeKeyRecords> keys;
+  std::unique_ptr<NodeRouting> routing;
   std::unique_ptr<Random> random;
   std::unique_ptr<TextEventLog> events;
   std::unique_ptr<CallPath> path;
@@ -200,6 +214,7 @@
   std::vector<SimNode> nodes;
   std::vector<std::unique_ptr<FakeBackendServer>> servers;
   std::vector<ServerState> states;
+  std::vector<std::string> versions;  ///< Of the servers. Set together with SetState.
   FakeRouting routing;
   std::shared_ptr<const CrashingRequests> crashing;  ///< Known after the next Distribute.
   /// In place of the node's monitor of its backend server; may be null.
--- a/tests/distribution/proxy_ack_test.cc
+++ b/tests/distribution/proxy_ack_test.cc
@@ -29,6 +29,10 @@
   ProxyAck ack = SomeAck();
   ack.refused_code = ResultCode::kDeltaBaseMismatch;
   ack.refused = VersionOf(2, 50);
+  VersionCounts counts;
+  counts.set_service("taller");
+  counts.set_answered(12);
+  ack.version_counts = {counts, VersionCounts()};
   const ProxyAck back = FromMessage(ToMessage(ack, std::chrono::milliseconds(1200)));
   EXPECT_EQ(back.instance, ack.instance);
   EXPECT_EQ(back.data_centre, ack.data_centre);
@@ -40,6 +44,8 @@
   EXPECT_EQ(back.age, std::chrono::milliseconds(1200));
   EXPECT_EQ(back.refused_code, ack.refused_code);
   EXPECT_TRUE(IsSame(back.refused, ack.refused));
+  ASSERT_EQ(back.version_counts.size(), 2U);
+  EXPECT_EQ(back.version_counts[0].SerializeAsString(), counts.SerializeAsString());
 }
 
 TEST(ProxyAck, LeavesOutRefusalAndNegativeAge) {
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -53,6 +53,28 @@
   EXPECT_EQ(states_, (std::vector<ServerState>{SERVER_UP, SERVER_DOWN, SERVER_UP}));
 }
 
+// Guards against a replaced server that keeps the version of the former one.
+TEST_F(BackendServerMonitorTest, TheVersionIsThatOfTheLatestHeartbeat) {
+  ServerHeartbeat heartbeat;
+  heartbeat.id = "i-1";
+  heartbeat.service = "desk";
+  heartbeat.slots = 18;
+  heartbeat.version = "v1";
+  heartbeat.sequence = 1;
+  monitor_.RecordHeartbeat(heartbeat);
+  EXPECT_EQ(monitor_.server().version, "v1");
+  heartbeat.id = "i-2";
+  heartbeat.start_time = std::chrono::milliseconds(1);
+  heartbeat.version = "v2";
+  monitor_.RecordHeartbeat(heartbeat);
+  EXPECT_EQ(monitor_.server().version, "v2");
+  EXPECT_EQ(states_.size(), 2U) << "the observer did not hear of the version";
+  heartbeat.version.clear();
+  heartbeat.sequence = 2;
+  monitor_.RecordHeartbeat(heartbeat);
+  EXPECT_EQ(monitor_.server().version, "");
+}
+
 TEST_F(BackendServerMonitorTest, StopMarksLeavingAndRefusesAnnouncements) {
   monitor_.Announce(kAnnouncement);
   monitor_.Stop();
--- a/tests/platform/heartbeat_codec_test.cc
+++ b/tests/platform/heartbeat_codec_test.cc
@@ -26,12 +26,26 @@
   return ResultCode::kOk;
 }
 
+// Guards against a server that counts as dead because of its version.
+TEST(HeartbeatCodecTest, AHeartbeatWithoutAUsableVersionIsValid) {
+  const std::string stated = R"("version":"v1",)";
+  for (const std::string& other :
+       {std::string(), std::string(R"("version":7,)"), std::string(R"("version":null,)"),
+        std::string(R"("version":["v1"],)"),
+        "\"version\":\"" + std::string(5000, 'v') + "\","}) {
+    const ServerHeartbeat heartbeat = DecodeHeartbeat("i-1", With(stated, other));
+    EXPECT_EQ(heartbeat.version, "");
+    EXPECT_EQ(heartbeat.slots, 18U);
+  }
+}
+
 TEST(HeartbeatCodecTest, ReadsAllFieldsOfAHeartbeat) {
   const ServerHeartbeat heartbeat = DecodeHeartbeat("i-7f3a91c2", kHeartbeat);
   EXPECT_EQ(heartbeat.id, "i-7f3a91c2");
   EXPECT_EQ(heartbeat.service, "desk");
   EXPECT_EQ(heartbeat.address, (Endpoint{"10.128.0.9", 8080}));
   EXPECT_EQ(heartbeat.slots, 18U);
+  EXPECT_EQ(heartbeat.version, "v1");
   EXPECT_FALSE(heartbeat.leaving);
   EXPECT_EQ(heartbeat.sequence, 4U);
   EXPECT_EQ(heartbeat.start_time, std::chrono::milliseconds(1784739888000));
--- a/tests/simulation/sim_fleet.h
+++ b/tests/simulation/sim_fleet.h
@@ -31,6 +31,8 @@
     Host* host = nullptr;
     std::unique_ptr<NodeDistribution> distribution;
     std::string service;
+    std::string version;  ///< Of its backend server; empty: not stated.
+    std::vector<VersionCounts> version_counts;
     bool announces_up = false;   ///< Its backend server is announced as SERVER_UP.
     bool left_for_good = false;  ///< It left and is not started again.
     /// Learned from other members; announced again, as the monitor of a node does.
@@ -117,6 +119,7 @@
       node->former.push_back(former);
       if (node->announces_up) Announce(node, SERVER_UP);
     };
+    dependencies.version_counts = [node] { return node->version_counts; };
     node->distribution =
         std::make_unique<NodeDistribution>(identity, settings, dependencies);
     parts->events.on_event = [this, node](const Event& event) {
@@ -133,6 +136,7 @@
     server.set_service(node->service);
     server.set_slots(20);
     server.set_state(state);
+    server.set_version(node->version);
     if (!node->former.empty()) *server.mutable_observations() = node->former.back();
     if (state == SERVER_NONE) server.Clear();
     node->distribution->SetBackendServer(server);
@@ -267,6 +271,7 @@
   std::vector<Node> nodes;
   std::vector<Control> controls;
   std::vector<std::shared_ptr<const Configuration>> confirmed;
+  std::vector<Rollout> rollouts;        ///< Of the next confirmed configuration.
   std::vector<std::string> violations;  ///< Violated invariants, up to 20.
   std::map<std::string, int> events;    ///< Number of events of the nodes, by name.
 
@@ -353,6 +358,7 @@
     Target* target = route->add_targets();
     target->set_service(valid ? "desk" : "nowhere");
     target->set_weight(static_cast<std::uint32_t>(n));
+    configuration->mutable_rollouts()->Assign(rollouts.begin(), rollouts.end());
     if (!valid) invalid_.insert(static_cast<std::size_t>(n));
     return configuration;
   }
