--- a/src/libquetzal/distribution/proxy_ack.cc
+++ b/src/libquetzal/distribution/proxy_ack.cc
@@ -19,8 +19,8 @@
     message.set_refused_code(static_cast<std::uint32_t>(ack.refused_code));
     *message.mutable_refused() = ack.refused;
   }
-  *message.mutable_version_counts() = {ack.version_counts.begin(),
-                                       ack.version_counts.end()};
+  message.mutable_version_counts()->Assign(ack.version_counts.begin(),
+                                           ack.version_counts.end());
   return message;
 }
 
