Calls: requests of teams carry a credential

Cause: a configuration may name teams whose requests need a key, but nothing read or checked one. The coordinating node looks the presented key up by its digest, refuses a missing, malformed or unknown one with 401 and one that is not proved with 503, removes the key and the caller's own team field, and states the team to the admitting node and the server. The team's priority replaces the route's. The fingerprint of a request covers the team in place of the key. An admitting node that has teams removes both fields as well, as the coordinating node may not have applied them yet. Credentials always count as proved until the lease exists.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -227,10 +227,14 @@
   }
   headers.emplace_back("host", head_.host);
   headers.insert(headers.end(), fields_.begin(), fields_.end());
+  // A coordinating node that has not applied the teams yet forwards these fields.
+  const auto matcher = context_->matcher();
+  if (matcher && matcher->teams().has_teams()) dialect.RemoveTeamFields(&headers);
   ServerMetadata metadata;
   metadata.remaining = deadline_ - sent_at_;
   metadata.server_id = server_id_;
   metadata.caller_service = head_.caller_service;
+  metadata.team = head_.team;
   metadata.hops = head_.hops;
   metadata.via = head_.via;
   dialect.WriteServer(metadata, &headers);
@@ -411,7 +415,7 @@
 }
 
 RequestIdentity BackendCall::Identity() const {
-  RequestIdentity identity(head_.method, head_.route, head_.path, fields_);
+  RequestIdentity identity(head_.method, head_.route, head_.path, fields_, head_.team);
   identity.AppendBody(identified_body_);
   return identity;
 }
--- a/src/libquetzal/calls/call_dialect.h
+++ b/src/libquetzal/calls/call_dialect.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "calls/caller_answer.h"
+#include "calls/caller_credential.h"
 #include "kernel/plugin_registry.h"
 #include "net/stream.h"
 
@@ -22,6 +23,7 @@
   Duration remaining{};   ///< Until the deadline, when the server stops working.
   std::string server_id;  ///< Announced id of the only server process that may run it.
   std::string caller_service;  ///< Service of the coordinating node's backend server.
+  std::string team;            ///< Of the caller; empty: not stated.
   int hops = 0;                ///< Number of nodes passed.
   std::string via;             ///< Entries of the services passed; see MakeViaEntry.
 };
@@ -44,6 +46,14 @@
 
   virtual CallerMetadata ReadCaller(const StreamHeaders& headers) const = 0;
 
+  /// Separate from ReadCaller, so that only code that checks a credential holds it.
+  virtual CallerCredential ReadCredential(const StreamHeaders& headers) const = 0;
+
+  /// Removes the caller's credential and the field that states the team to servers.
+  /// Requests of a configuration with teams are not forwarded with what a caller wrote
+  /// there.
+  virtual void RemoveTeamFields(StreamHeaders* headers) const = 0;
+
   /// Writes the fields of `metadata` and replaces those that `headers` already have.
   virtual void WriteServer(const ServerMetadata& metadata,
                            StreamHeaders* headers) const = 0;
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -17,6 +17,8 @@
 /// Used as the caller's timeout when it states none; a shorter one of the route applies.
 constexpr Duration kMaxTimeout = std::chrono::hours(24);
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
+/// The source's next answer is likely within this time; see CredentialLease.
+constexpr Duration kProofRetryAfter = std::chrono::milliseconds(500);
 
 /// How long the call waits for the outcome of a keyed request after the caller got
 /// kDeadlineExceeded.
@@ -26,6 +28,11 @@
   return code == ResultCode::kServerFull || code == ResultCode::kShed;
 }
 
+Duration RetryAfter(ResultCode code) {
+  if (code == ResultCode::kNodeStarting) return kRetryAfter;
+  return code == ResultCode::kCredentialUnproved ? kProofRetryAfter : Duration::zero();
+}
+
 }  // namespace
 
 std::shared_ptr<StreamHandler> CallerCall::Accept(
@@ -87,8 +94,7 @@
   if (code == ResultCode::kOk) code = CheckVia();
   if (code == ResultCode::kOk) code = CheckKey();
   if (code != ResultCode::kOk) {
-    const bool starting = code == ResultCode::kNodeStarting;
-    return Refuse({code, true, starting ? kRetryAfter : Duration::zero()});
+    return Refuse({code, true, RetryAfter(code)});
   }
   const auto timeout = std::chrono::milliseconds(route_->timeout_ms());
   requires_free_slot_ = route_->objective_ms() > 0;
@@ -111,7 +117,7 @@
 }
 
 RequestIdentity CallerCall::Identity() const {
-  RequestIdentity identity(method_, route_->name(), path_, fields_);
+  RequestIdentity identity(method_, route_->name(), path_, fields_, team_);
   for (const std::string& piece : body_.kept()) identity.AppendBody(piece);
   return identity;
 }
@@ -130,9 +136,16 @@
 }
 
 ResultCode CallerCall::FindRoute() {
+  // Read before the snapshot, which is then at least as recent as what proved the
+  // credentials, even when this thread is suspended in between.
+  const bool proved = context_->deps.routing->credentials_proved();
   const auto matcher = context_->matcher();
   if (!matcher) return ResultCode::kNodeStarting;
   const Route* route = matcher->Match(host_, path_, method_);
+  if (matcher->teams().has_teams()) {
+    const ResultCode code = CheckCredential(*matcher, route, proved);
+    if (code != ResultCode::kOk) return code;
+  }
   if (route == nullptr) {
     version_ = matcher->snapshot().version.index();
     return ResultCode::kNoRoute;
@@ -145,6 +158,26 @@
   return ResultCode::kOk;
 }
 
+ResultCode CallerCall::CheckCredential(const RouteMatcher& matcher, const Route* route,
+                                       bool proved) {
+  using State = CallerCredential::State;
+  const CallDialect& dialect = context_->dialect();
+  const bool is_public = route != nullptr && route->is_public();
+  CallerCredential credential;
+  if (!is_public) credential = dialect.ReadCredential(fields_);
+  dialect.RemoveTeamFields(&fields_);
+  if (is_public) return ResultCode::kOk;
+  version_ = matcher.snapshot().version.index();
+  if (credential.state != State::kPresented) return ResultCode::kCredentialUnknown;
+  // A configuration that is not proved may lack a credential that was added meanwhile.
+  if (!proved) return ResultCode::kCredentialUnproved;
+  const Team* team = matcher.teams().Find(credential.text);
+  if (team == nullptr) return ResultCode::kCredentialUnknown;
+  team_ = team->name();
+  if (team->has_priority()) team_priority_ = team->priority();
+  return ResultCode::kOk;
+}
+
 ResultCode CallerCall::CheckVia() {
   const std::string entry = MakeViaEntry(service_, method_, path_, key_);
   const ResultCode code =
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -48,6 +48,10 @@
   // Before the first attempt.
   void Start();
   ResultCode FindRoute();
+  /// Finds the team of the request and removes the caller's credential, which goes no
+  /// further. `proved`: credentials were valid before `matcher` was made.
+  ResultCode CheckCredential(const RouteMatcher& matcher, const Route* route,
+                             bool proved);
   ResultCode CheckVia();
   ResultCode CheckKey();
   void StartDeadline(Duration timeout);
@@ -117,7 +121,7 @@
   const std::string method_;
   const std::string host_;
   std::string key_;
-  const StreamHeaders fields_;
+  StreamHeaders fields_;  ///< To forward.
   std::string via_;
   int hops_ = 0;
   const CallerMetadata metadata_;
@@ -136,7 +140,9 @@
   std::unique_ptr<const Route> route_;
   std::uint64_t version_ = 0;  ///< Log index of the configuration of route_.
   std::string service_;
-  std::optional<BackendTarget> target_;  ///< Of the active attempt.
+  std::string team_;                            ///< Empty: none.
+  std::optional<std::uint32_t> team_priority_;  ///< Replaces that of the route.
+  std::optional<BackendTarget> target_;         ///< Of the active attempt.
   std::shared_ptr<Stream> attempt_;
   bool confirmed_ = false;                ///< The admitting node may run the attempt.
   std::unique_ptr<Timer> receipt_timer_;  ///< For the admitting node's first response.
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -106,6 +106,8 @@
 std::shared_ptr<const RouteMatcher> CallerCall::RefreshRoute() {
   auto latest = context_->matcher();
   if (!latest || latest->snapshot().version.index() == version_) return latest;
+  // The request may have arrived before there were teams.
+  if (latest->teams().has_teams()) context_->dialect().RemoveTeamFields(&fields_);
   const Route* route = latest->Match(host_, path_, method_);
   if (route != nullptr && route->idempotent() == route_->idempotent() &&
       route->keyless() == route_->keyless()) {
@@ -202,7 +204,8 @@
   }
   if (requires_free_slot_) head.max_wait = Duration::zero();
   head.rate_limit = context_->loads.rate_limit(target_->instance);
-  head.priority = route_->priority();
+  head.priority = team_priority_.value_or(route_->priority());
+  head.team = team_;
   head.remaining = std::max(Duration::zero(), deadline_ - context_->Now());
   head.expects_continue = !confirmed_;
   head.hops = hops_;
--- a/src/libquetzal/calls/default_dialect.cc
+++ b/src/libquetzal/calls/default_dialect.cc
@@ -5,6 +5,8 @@
 namespace quetzal {
 namespace {
 
+constexpr char kCredentialField[] = "authorization";
+constexpr char kTeamField[] = "x-quetzal-team";
 constexpr std::uint64_t kMaxDeadlineMs = 24ULL * 3600 * 1000;
 
 std::string Millis(Duration duration) {
@@ -23,10 +25,23 @@
   return metadata;
 }
 
+CallerCredential DefaultDialect::ReadCredential(const StreamHeaders& headers) const {
+  return ReadBearerCredential(headers, kCredentialField);
+}
+
+void DefaultDialect::RemoveTeamFields(StreamHeaders* headers) const {
+  RemoveField(kCredentialField, headers);
+  RemoveField(kTeamField, headers);
+}
+
 void DefaultDialect::WriteServer(const ServerMetadata& metadata,
                                  StreamHeaders* headers) const {
   headers->emplace_back(kDeadlineHeader, Millis(metadata.remaining));
   headers->emplace_back(kHopsHeader, std::to_string(metadata.hops));
+  if (!metadata.team.empty()) {
+    RemoveField(kTeamField, headers);
+    headers->emplace_back(kTeamField, metadata.team);
+  }
   if (!metadata.via.empty()) headers->emplace_back(kViaHeader, metadata.via);
 }
 
--- a/src/libquetzal/calls/request_fingerprint.cc
+++ b/src/libquetzal/calls/request_fingerprint.cc
@@ -10,6 +10,7 @@
 namespace {
 
 /// Credentials tell callers apart: the same path may lead to other data for each of them.
+/// With teams, the team does so, and its credential is not forwarded.
 constexpr char kCredentialsField[] = "authorization";
 
 using Sha256 = std::array<unsigned char, SHA256_DIGEST_LENGTH>;
@@ -43,9 +44,11 @@
 // The route stands for the host: callers may also name the host by the address of the
 // node that they use.
 RequestIdentity::RequestIdentity(std::string_view method, std::string_view route,
-                                 std::string_view path, const StreamHeaders& fields) {
-  const std::string_view credentials = HeaderValue(fields, kCredentialsField);
-  for (const std::string_view part : {method, route, path, credentials}) {
+                                 std::string_view path, const StreamHeaders& fields,
+                                 std::string_view team) {
+  const std::string_view caller =
+      team.empty() ? HeaderValue(fields, kCredentialsField) : team;
+  for (const std::string_view part : {method, route, path, caller}) {
     head_.append(std::to_string(part.size())).append(1, ':').append(part);
   }
 }
--- a/src/libquetzal/calls/request_fingerprint.h
+++ b/src/libquetzal/calls/request_fingerprint.h
@@ -25,11 +25,12 @@
 std::string ToString(const RequestFingerprint& fingerprint);
 
 /// The part of a request that its fingerprint covers: method, name of the route, path
-/// with query, the caller's credentials and the first kFingerprintBodyBytes of the body.
+/// with query, the caller's team or else its credentials, and the first
+/// kFingerprintBodyBytes of the body.
 class RequestIdentity {
  public:
   RequestIdentity(std::string_view method, std::string_view route, std::string_view path,
-                  const StreamHeaders& fields);
+                  const StreamHeaders& fields, std::string_view team = {});
 
   void AppendBody(std::string_view bytes);
 
--- a/src/libquetzal/calls/route_matcher.cc
+++ b/src/libquetzal/calls/route_matcher.cc
@@ -13,6 +13,9 @@
   index_ = same_configuration
                ? previous->index_
                : std::make_shared<const RouteIndex>(snapshot_->configuration);
+  teams_ = same_configuration
+               ? previous->teams_
+               : std::make_shared<const TeamIndex>(snapshot_->configuration);
   for (const BackendTarget& target : snapshot_->targets) {
     targets_[target.service].push_back(&target);
     if (target.state == SERVER_UP) available_.insert(target.service);
--- a/src/libquetzal/calls/route_matcher.h
+++ b/src/libquetzal/calls/route_matcher.h
@@ -10,6 +10,7 @@
 
 #include "calls/route_index.h"
 #include "calls/routing_snapshot.h"
+#include "calls/team_index.h"
 
 namespace quetzal {
 
@@ -17,7 +18,7 @@
 /// Immutable.
 class RouteMatcher {
  public:
-  /// Reuses the index of `previous` when it is of the same configuration.
+  /// Reuses the indexes of `previous` when they are of the same configuration.
   explicit RouteMatcher(std::shared_ptr<const RoutingSnapshot> snapshot,
                         const RouteMatcher* previous = nullptr);
 
@@ -41,6 +42,8 @@
     return index_->FindService(name);
   }
 
+  const TeamIndex& teams() const { return *teams_; }
+
   const RoutingSnapshot& snapshot() const { return *snapshot_; }
 
  private:
@@ -48,6 +51,7 @@
 
   std::shared_ptr<const RoutingSnapshot> snapshot_;
   std::shared_ptr<const RouteIndex> index_;
+  std::shared_ptr<const TeamIndex> teams_;
   std::unordered_map<std::string_view, std::vector<const BackendTarget*>> targets_;
   std::unordered_set<std::string_view> available_;  ///< Services with an instance up.
 };
--- a/src/libquetzal/calls/routing_snapshot.h
+++ b/src/libquetzal/calls/routing_snapshot.h
@@ -41,6 +41,10 @@
   /// The current snapshot; null while the node may not serve (no configuration applied
   /// yet, or not confirmed as fresh since the start).
   virtual std::shared_ptr<const RoutingSnapshot> snapshot() const = 0;
+
+  /// False while a credential of a snapshot fetched from now on may have been withdrawn
+  /// too long ago; see CredentialLease.
+  virtual bool credentials_proved() const { return true; }
 };
 
 }  // namespace quetzal
--- a/src/libquetzal/configuration/configuration_check.cc
+++ b/src/libquetzal/configuration/configuration_check.cc
@@ -16,6 +16,7 @@
 #include "base/settings.h"
 #include "configuration/configuration_limits.h"
 #include "configuration/key_residue.h"
+#include "configuration/team_check.h"
 
 namespace quetzal {
 namespace {
@@ -259,6 +260,7 @@
   CheckDistinctMatches(configuration);
   CheckPolicy(configuration.policy());
   CheckKeyGroups(configuration);
+  CheckTeams(configuration);
 }
 
 }  // namespace quetzal
--- a/src/libquetzal/configuration/configuration_check.h
+++ b/src/libquetzal/configuration/configuration_check.h
@@ -15,8 +15,8 @@
 /// Checks a whole configuration: names, limits, order and uniqueness of the lists, that
 /// every target of a route is a service of the configuration, that every route has a
 /// target with a weight above 0 unless its shares are fixed, that no two routes match the
-/// same requests, and the key groups. Throws Error(kConfigurationInvalid) that names the
-/// first fault.
+/// same requests, the key groups and the teams. Throws Error(kConfigurationInvalid) that
+/// names the first fault.
 void CheckConfiguration(const Configuration& configuration);
 
 }  // namespace quetzal
--- a/src/libquetzal/control/intent_machine_order.cc
+++ b/src/libquetzal/control/intent_machine_order.cc
@@ -43,6 +43,7 @@
     }
     next.mutable_services()->Swap(content.mutable_configuration()->mutable_services());
     next.mutable_routes()->Swap(content.mutable_configuration()->mutable_routes());
+    next.mutable_teams()->Swap(content.mutable_configuration()->mutable_teams());
     CheckConfiguration(next);
   } catch (const Error& error) {
     return MakeResult(error.code(), error.what());
--- a/tests/calls/notice_dialect.h
+++ b/tests/calls/notice_dialect.h
@@ -17,6 +17,12 @@
   CallerMetadata ReadCaller(const StreamHeaders& headers) const override {
     return base_.ReadCaller(headers);
   }
+  CallerCredential ReadCredential(const StreamHeaders& headers) const override {
+    return base_.ReadCredential(headers);
+  }
+  void RemoveTeamFields(StreamHeaders* headers) const override {
+    base_.RemoveTeamFields(headers);
+  }
   void WriteServer(const ServerMetadata& metadata,
                    StreamHeaders* headers) const override {
     base_.WriteServer(metadata, headers);
--- a/tests/calls/sim_cluster.h
+++ b/tests/calls/sim_cluster.h
@@ -116,7 +116,9 @@
 class FakeRouting final : public RoutingSource {
  public:
   std::shared_ptr<const RoutingSnapshot> snapshot() const override { return current; }
+  bool credentials_proved() const override { return proved; }
   std::shared_ptr<const RoutingSnapshot> current;  ///< Null: none received yet.
+  bool proved = true;
 };
 
 /// Appends each event to a list, as a line with its time and node.
--- a/tests/calls/sim_net.cc
+++ b/tests/calls/sim_net.cc
@@ -145,6 +145,7 @@
   pair->sides[0] = {host_, std::move(handler)};
   pair->sides[1] = {peer.address, nullptr};
   net_->pairs.push_back(pair);
+  if (net_->on_open) net_->on_open(host_, headers);
   SimNet* net = net_;
   const bool lost =
       !*alive_ || (net->should_drop && net->should_drop(host_, peer.address, "open"));
--- a/tests/calls/sim_net.h
+++ b/tests/calls/sim_net.h
@@ -137,6 +137,9 @@
                      const std::string& kind)>
       should_drop;
 
+  /// Called for each stream that the host `from` opens; may be null.
+  std::function<void(const std::string& from, const StreamHeaders& headers)> on_open;
+
   struct Pair;  ///< The two sides of a stream.
   std::vector<std::weak_ptr<Pair>> pairs;
 
--- a/tests/platform/call_dialect_test.cc
+++ b/tests/platform/call_dialect_test.cc
@@ -104,6 +104,9 @@
            {ResultCode::kStaleIncarnation, true, "503"},
            {ResultCode::kNodeStarting, true, "503"},
            {ResultCode::kNodeStopping, true, "503"},
+           {ResultCode::kCredentialUnknown, true, "401"},
+           {ResultCode::kCredentialUnproved, true, "503"},
+           {ResultCode::kQuotaExceeded, true, "429"},
            {ResultCode::kConnectFailed, true, "503"},
            {ResultCode::kDeadlineExceeded, true, "503"},
            {ResultCode::kDeadlineExceeded, false, "504"},
@@ -131,15 +134,55 @@
   EXPECT_EQ(HeaderValue(unknown.headers, "retry-after"), "");
 }
 
+// Guards against callers that repeat a request whose key is unknown, and callers over
+// their quota that return at once.
+TEST_F(PlatformDialectTest, RetryAfterOfRequestsOfTeams) {
+  const auto retry_after = [this](ResultCode code) {
+    return std::string(HeaderValue(
+        dialect_->WriteRefusal({code, true, milliseconds(500)}, false).headers,
+        "retry-after"));
+  };
+  EXPECT_EQ(retry_after(ResultCode::kCredentialUnknown), "");
+  EXPECT_EQ(retry_after(ResultCode::kCredentialUnproved), "0.500");
+  EXPECT_EQ(retry_after(ResultCode::kQuotaExceeded), "0.500");
+}
+
+TEST_F(PlatformDialectTest, TheTeamIsStatedToServersInsteadOfTheKey) {
+  StreamHeaders headers = {{"authorization", "Bearer k-1"},
+                           {"x-tenant", "forged"},
+                           {"x-attempt-id", "9c41"},
+                           {"x-tenant", "forged again"}};
+  EXPECT_EQ(dialect_->ReadCredential(headers).text, "k-1");
+  dialect_->RemoveTeamFields(&headers);
+  EXPECT_EQ(headers, (StreamHeaders{{"x-attempt-id", "9c41"}}));
+  ServerMetadata metadata;
+  metadata.team = "rioja";
+  metadata.remaining = milliseconds(250);
+  dialect_->WriteServer(metadata, &headers);
+  EXPECT_EQ(headers, (StreamHeaders{{"x-attempt-id", "9c41"},
+                                    {"x-deadline-ms", "250"},
+                                    {"x-tenant", "rioja"}}));
+}
+
+// Without teams, both fields belong to callers and servers.
+TEST_F(PlatformDialectTest, WithoutATeamItsFieldsPass) {
+  StreamHeaders headers = {{"authorization", "Basic x"}, {"x-tenant", "callers own"}};
+  dialect_->WriteServer({}, &headers);
+  EXPECT_EQ(HeaderValue(headers, "authorization"), "Basic x");
+  EXPECT_EQ(HeaderValue(headers, "x-tenant"), "callers own");
+}
+
 TEST_F(PlatformDialectTest, ArbitraryFieldValuesAreRead) {
   EXPECT_TRUE(rc::check([this](const std::vector<std::string>& values) {
     StreamHeaders headers;
     const char* const names[] = {":status",        "x-attempt-id",    "x-deadline-ms",
-                                 "x-not-executed", "x-response-seal", "server-limit"};
+                                 "x-not-executed", "x-response-seal", "server-limit",
+                                 "authorization",  "x-tenant"};
     for (std::size_t n = 0; n < values.size(); ++n) {
-      headers.emplace_back(names[n % 6], values[n]);
+      headers.emplace_back(names[n % 8], values[n]);
     }
     dialect_->ReadCaller(headers);
+    dialect_->ReadCredential(headers);
     dialect_->ReadAnswer(headers);
     dialect_->WriteServer({}, &headers);
   }));
--- a/tests/platform/order_codec_test.cc
+++ b/tests/platform/order_codec_test.cc
@@ -5,6 +5,7 @@
 
 #include "base/result_code.h"
 #include "configuration/configuration_check.h"
+#include "configuration/credential.h"
 
 namespace quetzal::platform {
 namespace {
@@ -82,17 +83,82 @@
             "route: service is missing");
 }
 
+/// kOrder with these tenants.
+std::string WithTenants(const std::string& tenants) {
+  return With(R"("services":)", R"("tenants":)" + tenants + R"(,"services":)");
+}
+
+TEST(OrderCodecTest, TenantsBecomeTeamsThatHoldDigests) {
+  const ConfigurationOrder order = DecodeOrder(WithTenants(
+      R"([{"name":"soria","apiKeys":["k-2","k-1","k-2"],"priority":2,"ratePerS":31.5,)"
+      R"("burst":12},{"name":"rioja","apiKeys":[]}])"));
+  ASSERT_EQ(order.configuration.teams_size(), 2);
+  const Team& rioja = order.configuration.teams(0);
+  EXPECT_EQ(rioja.name(), "rioja");
+  EXPECT_EQ(rioja.credential_digests_size(), 0);
+  EXPECT_FALSE(rioja.has_priority());
+  EXPECT_EQ(rioja.requests_per_second(), 0);
+  const Team& soria = order.configuration.teams(1);
+  EXPECT_EQ(soria.priority(), 2U);
+  EXPECT_EQ(soria.requests_per_second(), 31.5);
+  EXPECT_EQ(soria.burst(), 12);
+  ASSERT_EQ(soria.credential_digests_size(), 2);
+  EXPECT_NO_THROW(CheckConfiguration(order.configuration));
+  EXPECT_EQ(order.configuration.SerializeAsString().find("k-1"), std::string::npos)
+      << "nodes must get digests only";
+  EXPECT_NE(order.configuration.SerializeAsString().find(CredentialDigest("k-1")),
+            std::string::npos);
+}
+
+TEST(OrderCodecTest, ARouteMayBePublic) {
+  const ConfigurationOrder order =
+      DecodeOrder(With(R"("name":"r-a",)", R"("name":"r-a","public":true,)"));
+  EXPECT_TRUE(order.configuration.routes(0).is_public());
+  EXPECT_FALSE(order.configuration.routes(1).is_public());
+}
+
+// Guards against a key that reaches an operator's terminal or an event with the fault.
+TEST(OrderCodecTest, FaultsInTenantsAreStatedWithoutAKey) {
+  for (const char* tenants :
+       {R"({"k-secret":1})", R"([{"name":"rioja"}])",
+        R"([{"name":"rioja","apiKeys":"k-secret"}])",
+        R"([{"name":"rioja","apiKeys":["k-secret two"]}])",
+        R"([{"name":"rioja","apiKeys":["k-secret","k-secret\u00e9"]}])",
+        R"([{"name":"rioja","apiKeys":["k-secret",""]}])",
+        R"([{"name":"rioja","apiKeys":["k-secret"],"priority":10}])",
+        R"([{"name":"rioja","apiKeys":["k-secret"],"ratePerS":"9"}])",
+        R"([{"apiKeys":["k-secret"]}])"}) {
+    const std::string faults = FaultsOf(WithTenants(tenants));
+    EXPECT_NE(faults, "") << tenants;
+    EXPECT_EQ(faults.find("k-secret"), std::string::npos) << faults;
+  }
+}
+
+TEST(OrderCodecTest, TenantsThatBreakARuleAreRefusedByTheCheck) {
+  for (const char* tenants :
+       {R"([{"name":"rioja","apiKeys":["k-secret"],"ratePerS":-1}])",
+        R"([{"name":"rioja","apiKeys":["k-secret"],"burst":-0.5}])",
+        R"([{"name":"Rioja!","apiKeys":["k-secret"]}])",
+        R"([{"name":"rioja","apiKeys":["a"]},{"name":"rioja","apiKeys":["b"]}])",
+        R"([{"name":"rioja","apiKeys":["a"]},{"name":"soria","apiKeys":["b","a"]}])"}) {
+    EXPECT_THROW(CheckConfiguration(DecodeOrder(WithTenants(tenants)).configuration),
+                 Error)
+        << tenants;
+  }
+}
+
 TEST(OrderCodecTest, WrongFieldsAreRefused) {
-  for (const std::string& body :
-       {With(R"("weight":90)", R"("weight":-1)"),
-        With(R"("weight":90)", R"("weight":"9")"),
-        With(R"("timeoutS":1)", R"("timeoutS":-1)"),
-        With(R"("timeoutS":1)", R"("timeoutS":"1")"),
-        With(R"("attempts":3)", R"("attempts":0)"),
-        With(R"("attempts":3)", R"("attempts":1.5)"),
-        With(R"("kind":"unsafe")", R"("kind":"Unsafe")"),
-        With(R"("version":"0000001c")", R"("version":28)"),
-        With(R"("priority":1)", R"("priority":-1)"), std::string("[]"), std::string()}) {
+  for (const std::string& body : {With(R"("weight":90)", R"("weight":-1)"),
+                                  With(R"("weight":90)", R"("weight":"9")"),
+                                  With(R"("timeoutS":1)", R"("timeoutS":-1)"),
+                                  With(R"("timeoutS":1)", R"("timeoutS":"1")"),
+                                  With(R"("attempts":3)", R"("attempts":0)"),
+                                  With(R"("attempts":3)", R"("attempts":1.5)"),
+                                  With(R"("kind":"unsafe")", R"("kind":"Unsafe")"),
+                                  With(R"("version":"0000001c")", R"("version":28)"),
+                                  With(R"("priority":1)", R"("priority":-1)"),
+                                  With(R"("name":"r-a",)", R"("name":"r-a","public":1,)"),
+                                  std::string("[]"), std::string()}) {
     EXPECT_NE(FaultsOf(body), "") << body;
   }
 }
