--- a/src/libquetzal/configuration/configuration_check.cc
+++ b/src/libquetzal/configuration/configuration_check.cc
@@ -17,6 +17,7 @@
 #include "configuration/configuration_limits.h"
 #include "configuration/key_residue.h"
 #include "configuration/rollout_check.h"
+#include "configuration/team_check.h"
 
 namespace quetzal {
 namespace {
@@ -261,6 +262,7 @@
   CheckPolicy(configuration.policy());
   CheckKeyGroups(configuration);
   CheckRollouts(configuration);
+  CheckTeams(configuration);
 }
 
 }  // namespace quetzal
--- a/tests/calls/sim_cluster.h
+++ b/tests/calls/sim_cluster.h
@@ -116,7 +116,9 @@
 class FakeRouting final : public RoutingSource {
  public:
   std::shared_ptr<const RoutingSnapshot> snapshot() const override { return current; }
+  bool credentials_proved() const override { return proved; }
   std::shared_ptr<const RoutingSnapshot> current;  ///< Null: none received yet.
+  bool proved = true;
 };
 
 /// The routing of one node: that of the cluster, or an earlier one that it is stuck with.
