--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -42,6 +42,9 @@
   Duration key_wait = std::chrono::seconds(2);
   std::string service;  ///< Of the local backend server, from the settings.
 
+  /// Load policy where the configuration names none; empty: kDefaultLoadPolicy.
+  std::string load_policy;
+
   /// Burst of the retry budget of each service, shared by all nodes; 0: only the budget
   /// of the configuration's policy applies.
   std::uint32_t shared_retry_burst = 0;
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -160,7 +160,8 @@
   const Service* service = matcher->FindService(service_);
   ChoiceOptions options;
   options.data_centre = context_->options.data_centre;
-  options.load_policy = configuration.policy().load_policy();
+  const std::string& policy = configuration.policy().load_policy();
+  options.load_policy = policy.empty() ? context_->options.load_policy : policy;
   options.tried = tried_;
   if (service != nullptr) {
     options.slow_start = std::chrono::milliseconds(service->slow_start_ms());
--- a/src/libquetzal/calls/target_selector.h
+++ b/src/libquetzal/calls/target_selector.h
@@ -30,7 +30,8 @@
 /// Used when a configuration names no load policy, or one that is not linked in.
 inline constexpr char kDefaultLoadPolicy[] = "two_choices";
 
-/// Load policies by name: "random", "round_robin", "least_outstanding", "two_choices".
+/// Load policies by name: "random", "round_robin", "least_outstanding", "two_choices",
+/// "earliest_completion".
 using TargetSelectorRegistry = PluginRegistry<TargetSelector>;
 
 /// Outstanding requests plus one more, relative to the capacity.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -205,6 +205,7 @@
   options.incarnation = incarnation_;
   options.default_timeout = settings.Millis("call-timeout-ms");
   options.service = settings.Text("service");
+  options.load_policy = settings.Text("load-policy");
   options.shared_retry_burst =
       static_cast<std::uint32_t>(settings.Integer("retry-burst"));
   options.retry_percent =
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -51,6 +51,9 @@
           {"stop-limit-ms", K::kMillis, "ms", "0", 0, 600000, false,
            "Time from a stop signal to the end of the process; when stated, it sets "
            "--drain-limit-ms."},
+          {"load-policy", K::kText, "", "", 0, 0, false,
+           "Policy that chooses among the backend servers of a service where the "
+           "configuration names none."},
           {"retry-ratio", K::kRatio, "", "0", 0, 0, false,
            "With --retry-burst: retries as a share of the requests of a service."},
           {"retry-burst", K::kInteger, "retries", "0", 0, 1000000, false,
