--- a/src/libquetzal/base/settings.cc
+++ b/src/libquetzal/base/settings.cc
@@ -24,6 +24,19 @@
   return ec == std::errc() && last == end && !text.empty();
 }
 
+/// Parses a decimal number of at least 0 and rounds it down.
+bool ParseRoundedDown(const std::string& text, std::int64_t* number) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [last, ec] = std::from_chars(text.data(), end, value);
+  constexpr double kMaxNumber = 1e15;
+  if (ec != std::errc() || last != end || !(value >= 0 && value <= kMaxNumber)) {
+    return false;
+  }
+  *number = static_cast<std::int64_t>(value);
+  return true;
+}
+
 /// Parses whole milliseconds ("250") or, with the suffix "s", decimal seconds ("0.25s").
 bool ParseMillis(const std::string& text, std::int64_t* millis) {
   if (text.empty() || text.back() != 's') return ParseInteger(text, millis);
@@ -75,6 +88,10 @@
       if (!ParseInteger(text, &number)) return "is not a whole number";
       if (number < spec.min || number > spec.max) return "is out of range";
       return "";
+    case SettingKind::kRoundedDown:
+      if (!ParseRoundedDown(text, &number)) return "is not a number";
+      if (number < spec.min || number > spec.max) return "is out of range";
+      return "";
     case SettingKind::kEndpoint:
     case SettingKind::kEndpointList:
       try {
@@ -137,7 +154,8 @@
 
 std::int64_t Settings::Integer(const std::string& name) const {
   std::int64_t number = 0;
-  ParseInteger(Text(name), &number);
+  const std::string& text = Text(name);
+  if (!ParseInteger(text, &number)) ParseRoundedDown(text, &number);
   return number;
 }
 
@@ -189,6 +207,7 @@
     case SettingKind::kRatio:
       return "0 to 1";
     case SettingKind::kInteger:
+    case SettingKind::kRoundedDown:
     case SettingKind::kMillis: {
       std::string text = std::to_string(spec.min) + " to " + std::to_string(spec.max);
       return spec.unit.empty() ? text : text + " " + spec.unit;
--- a/src/libquetzal/base/settings.h
+++ b/src/libquetzal/base/settings.h
@@ -15,6 +15,7 @@
 enum class SettingKind {
   kText,
   kInteger,
+  kRoundedDown,  ///< A number; Integer() returns it without its fraction.
   kMillis,
   kEndpoint,
   kEndpointList,
@@ -30,8 +31,8 @@
   SettingKind kind = SettingKind::kText;
   std::string unit;  ///< "ms", "bytes", "address:port"; empty for plain text.
   std::string default_value;
-  std::int64_t min = 0;  ///< Smallest number allowed (kInteger, kMillis).
-  std::int64_t max = 0;  ///< Largest number allowed (kInteger, kMillis).
+  std::int64_t min = 0;  ///< Smallest number allowed (all kinds of numbers but kRatio).
+  std::int64_t max = 0;  ///< Largest number allowed.
   bool required = false;
   std::string help;
 };
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -56,7 +56,7 @@
            "configuration names none."},
           {"retry-ratio", K::kRatio, "", "0", 0, 0, false,
            "With --retry-burst: retries as a share of the requests of a service."},
-          {"retry-burst", K::kInteger, "retries", "0", 0, 1000000, false,
+          {"retry-burst", K::kRoundedDown, "retries", "0", 0, 1000000, false,
            "Retries of all nodes together beyond the share; 0: the policy of the "
            "configuration counts."},
           {"log-file", K::kText, "", "", 0, 0, false,
--- a/tests/base/settings_test.cc
+++ b/tests/base/settings_test.cc
@@ -13,6 +13,7 @@
       {{"listen", SettingKind::kEndpoint, "address:port", "", 0, 0, true, "h"},
        {"period", SettingKind::kMillis, "ms", "100", 10, 1000, false, "h"},
        {"share", SettingKind::kRatio, "", "0", 0, 0, false, "h"},
+       {"burst", SettingKind::kRoundedDown, "", "0", 0, 1000, false, "h"},
        {"verbose", SettingKind::kFlag, "", "false", 0, 0, false, "h"}});
 }
 
@@ -66,6 +67,18 @@
   }
 }
 
+// A platform that divides a budget may state a fraction; the program must start with it.
+TEST(SettingsTest, FractionsAreRoundedDown) {
+  const auto read = [](const std::string& text) {
+    return ReadWith({"--listen", "127.0.0.1:5", "--burst", text}, {});
+  };
+  EXPECT_EQ(read("33.333333333333336").settings.Integer("burst"), 33);
+  EXPECT_EQ(read("64").settings.Integer("burst"), 64);
+  for (const char* invalid : {"-1", "1001", "many", "3x", "nan", "1e99"}) {
+    EXPECT_NE(read(invalid).errors, "") << invalid;
+  }
+}
+
 TEST(SettingsTest, UnknownFlagIsAnError) {
   const auto outcome = ReadWith({"--listen", "127.0.0.1:1", "--nonsense"}, {});
   EXPECT_EQ(outcome.errors, "flag --nonsense: no such setting\n");
