Quotas: shorter reaction and fewer bytes

Cause: the first simulation broke the bound at jumps and sent 10 kB/s per node. Change: reports of changed teams only, urgent demand and grants, overdue grants bounded by earlier use.

--- a/src/libquetzal/quotas/quota_allocator.cc
+++ b/src/libquetzal/quotas/quota_allocator.cc
@@ -28,13 +28,27 @@
 constexpr double kEvenPart = 0.05;
 constexpr double kBurstSeconds = 0.25;
 
+/// A share that falls below this part of the one granted is granted at once.
+constexpr double kNoticeable = 0.7;
+/// Growth of demand that is reported at once, as a part of the rate and in standard
+/// deviations of the average, so that chance alone rarely causes it.
+constexpr double kGrowth = 0.1;
+constexpr double kGrowthDeviations = 3;
+/// A team below this part of its even share is reported once in kQuietPeriods.
+constexpr double kQuietPart = 0.8;
+constexpr int kQuietPeriods = 4;
+
+/// Three reports of a quiet team.
+constexpr Duration kDemandTimeout = std::chrono::seconds(3);
 constexpr Duration kReportPeriod = std::chrono::milliseconds(250);
 constexpr Duration kNodeTimeout = std::chrono::seconds(1);
 constexpr Duration kCoordinatorTimeout = std::chrono::milliseconds(700);
 /// After this time a node has begun to count anew (see QuotaExchange).
 constexpr Duration kRecount = std::chrono::seconds(4);
-/// Time for all nodes to report to a new coordinator before it sends grants.
-constexpr Duration kStartDelay = std::chrono::milliseconds(250);
+/// Time for the nodes and the other coordinators to report to a new coordinator before it
+/// sends grants; the longer one when some are missing.
+constexpr Duration kStartDelay = std::chrono::milliseconds(200);
+constexpr Duration kLongStartDelay = std::chrono::milliseconds(500);
 constexpr Duration kRetention = std::chrono::seconds(60);
 
 double ToSeconds(Duration time) { return Seconds(time).count(); }
@@ -113,9 +127,10 @@
   known->updated = now;
 }
 
-void QuotaAllocator::OnDemand(const std::string& name, const DemandReport& report) {
+bool QuotaAllocator::OnDemand(const std::string& name, const DemandReport& report) {
   const SteadyTime now = clock_->Now();
   Coordinator& coordinator = coordinators_[name];
+  const bool appeared = !Heard(coordinator);
   coordinator.data_centre = report.data_centre();
   coordinator.nodes = report.nodes();
   coordinator.heard = now;
@@ -124,6 +139,7 @@
     coordinator.demands[demand.team()] = {demand.asked_per_second(),
                                           demand.admitted_in_window(), now};
   }
+  return appeared;
 }
 
 bool QuotaAllocator::Heard(const Node& node) const {
@@ -158,6 +174,7 @@
   if (coverage.own > 0 && !active_) began_ = now;
   active_ = coverage.own > 0;
   reporting_ = coverage.own;
+  most_heard_ = 10 * coverage.heard > 9 * coverage.all;
   for (auto& [name, team] : teams_) {
     team.demand = 0;
     team.admitted = team.reported.Sum(now) + team.earlier.Sum(now);
@@ -226,7 +243,7 @@
     if (!Heard(coordinator)) continue;
     const auto it = coordinator.demands.find(team->limit.team);
     if (it == coordinator.demands.end() ||
-        now - it->second.updated > kCoordinatorTimeout) {
+        now - it->second.updated > kDemandTimeout) {
       continue;
     }
     admitted += it->second.admitted;
@@ -247,17 +264,24 @@
                                    : static_cast<double>(coverage.own) /
                                          static_cast<double>(coverage.all);
     team->per_second = std::min(allowed, most) * part;
-    if (!team->was_limited || team->per_second < 0.8 * team->granted_per_second) {
+    if (!team->was_limited || team->per_second < kNoticeable * team->granted_per_second) {
       grants_urgent_ = true;
     }
   }
-  const double noticeable =
-      std::max(2.0, 0.05 * team->limit.per_second) + 1.2 * team->sent_demand;
-  if (team->demand > noticeable) demands_urgent_ = true;
+  const double growth =
+      std::max({2.0, kGrowth * team->limit.per_second,
+                kGrowthDeviations * std::sqrt(team->sent_demand / kDemandSeconds)});
+  team->grew = team->demand > team->sent_demand + growth;
+  demands_urgent_ = demands_urgent_ || team->grew;
+  const double own =
+      static_cast<double>(coverage.own) / static_cast<double>(coverage.all);
+  team->quiet = team->demand < kQuietPart * own * team->limit.per_second &&
+                team->admitted < kQuietPart * own * WindowLimit(team->limit);
 }
 
 bool QuotaAllocator::ready() const {
-  return active_ && clock_->Now() - began_ >= kStartDelay;
+  const Duration waited = clock_->Now() - began_;
+  return active_ && waited >= (most_heard_ ? kStartDelay : kLongStartDelay);
 }
 
 void QuotaAllocator::MarkGranted() {
@@ -268,11 +292,6 @@
   }
 }
 
-void QuotaAllocator::MarkDemandsSent() {
-  demands_urgent_ = false;
-  for (auto& [name, team] : teams_) team.sent_demand = team.demand;
-}
-
 std::vector<std::string> QuotaAllocator::nodes() const {
   std::vector<std::string> names;
   for (const auto& [name, node] : nodes_) {
@@ -306,11 +325,18 @@
   return shares;
 }
 
-std::vector<TeamDemand> QuotaAllocator::Demands() const {
+std::vector<TeamDemand> QuotaAllocator::TakeDemands(bool urgent_only) {
   std::vector<TeamDemand> demands;
-  for (const auto& [name, team] : teams_) {
+  demands_urgent_ = false;
+  for (auto& [name, team] : teams_) {
     if (team.limit.per_second <= 0) continue;
-    if (team.demand < 0.01 && team.admitted < 0.01) continue;
+    if (urgent_only && !team.grew) continue;
+    const bool idle = team.demand < 0.01 && team.admitted < 0.01;
+    if (!team.grew && (team.quiet || idle) && ++team.skipped < kQuietPeriods) continue;
+    team.skipped = 0;
+    if (idle) continue;
+    team.grew = false;
+    team.sent_demand = team.demand;
     TeamDemand demand;
     demand.set_team(name);
     demand.set_asked_per_second(static_cast<float>(team.demand));
--- a/src/libquetzal/quotas/quota_allocator.h
+++ b/src/libquetzal/quotas/quota_allocator.h
@@ -37,21 +37,25 @@
   void OnReport(const std::string& node, std::uint64_t incarnation,
                 const UsageReport& report);
 
-  void OnDemand(const std::string& coordinator, const DemandReport& report);
+  /// Returns true when that coordinator had not been heard from lately.
+  bool OnDemand(const std::string& coordinator, const DemandReport& report);
 
   /// Computes the shares from what was reported until now.
   void Allocate();
 
-  /// True once enough nodes could report for grants to be sent.
+  /// True while nodes report to this coordinator.
+  bool active() const { return active_; }
+
+  /// True once the nodes and the other coordinators had time to report, so that grants may
+  /// be sent.
   bool ready() const;
 
   /// A share became so much smaller since MarkGranted() that nodes should learn it at once.
   bool grants_urgent() const { return grants_urgent_; }
   void MarkGranted();
 
-  /// Demand grew so much since MarkDemandsSent() that the others should learn it at once.
+  /// Demand grew so much since it was taken that the others should learn it at once.
   bool demands_urgent() const { return demands_urgent_; }
-  void MarkDemandsSent();
 
   /// Nodes that report to this coordinator.
   std::vector<std::string> nodes() const;
@@ -59,7 +63,10 @@
   /// Shares of the limited teams for `node`.
   std::vector<TeamShare> SharesFor(const std::string& node) const;
 
-  std::vector<TeamDemand> Demands() const;
+  /// Demand of the nodes that report here, for the other coordinators. Teams far below
+  /// their quota are included in one of four calls. `urgent_only`: only teams whose demand
+  /// grew much.
+  std::vector<TeamDemand> TakeDemands(bool urgent_only);
 
   /// Other coordinators heard from lately.
   std::vector<std::string> coordinators() const;
@@ -100,6 +107,9 @@
     bool was_limited = false;
     double granted_per_second = 0;
     double sent_demand = 0;
+    bool grew = false;   ///< Demand, since it was sent.
+    bool quiet = false;  ///< Far below the quota.
+    int skipped = 0;     ///< Calls of TakeDemands that left it out.
   };
   struct Coverage {
     std::size_t all = 0;
@@ -121,6 +131,7 @@
   SteadyTime began_;  ///< To hear from nodes, after none reported.
   bool active_ = false;
   std::size_t reporting_ = 0;  ///< Nodes heard from, as of the last Allocate().
+  bool most_heard_ = false;    ///< Likewise, most nodes over all coordinators.
   std::map<std::string, Team> teams_;
   std::map<std::string, std::size_t> nodes_by_data_centre_;
   std::map<std::string, Node> nodes_;
--- a/src/libquetzal/quotas/quota_exchange.cc
+++ b/src/libquetzal/quotas/quota_exchange.cc
@@ -14,8 +14,12 @@
 /// Validity of a grant, from the report that it answers: 1 s after the grant's arrival at
 /// the usual delays.
 constexpr std::uint32_t kGrantValidMs = 1250;
-/// Two lost grants in a row; the next coordinator can answer before the last one expires.
-constexpr Duration kSilence = std::chrono::milliseconds(600);
+/// Age of a grant, from the report that it answers, that is reached only when one is lost.
+constexpr Duration kOverdue = std::chrono::milliseconds(750);
+/// A lost grant or two; the next coordinator can answer before the last grant expires.
+constexpr Duration kSilence = std::chrono::milliseconds(650);
+/// Least time between two allocations.
+constexpr Duration kAllocationGap = std::chrono::milliseconds(40);
 /// Pause before a silent coordinator may be chosen again.
 constexpr Duration kSilentPause = std::chrono::seconds(5);
 /// Longer than the time after which the asked coordinator counts this node anew.
@@ -98,7 +102,7 @@
   last_tick_ = now;
   ChooseCoordinator();
   if (now >= next_report_ || limiter_->surging()) Report();
-  if (settled_) Coordinate();
+  Coordinate();
 }
 
 QuotaExchange::Target QuotaExchange::MakeTarget(const std::string& name) const {
@@ -133,6 +137,7 @@
                                  : (ranked_.empty() ? std::string() : ranked_.front());
     const bool same = current_ && current_->name == name;
     if (same && now - current_->counted < kRecount) return;
+    previous_ = same ? std::nullopt : std::move(current_);
     current_.reset();
     if (!name.empty()) current_ = MakeTarget(name);
     preferred_.reset();
@@ -169,6 +174,9 @@
     preferred_ = MakeTarget(preferred_->name);
     ReportTo(&*preferred_, counts);
   }
+  second_last_asked_ = std::move(last_asked_);
+  last_asked_.clear();
+  for (const TeamCount& count : counts) last_asked_[count.team] = count.asked;
 }
 
 void QuotaExchange::ReportTo(Target* target, const std::vector<TeamCount>& counts) {
@@ -176,8 +184,7 @@
   messages.back().mutable_usage();
   std::size_t bytes = 0;
   for (const TeamCount& count : counts) {
-    // Teams without a request in the last window need no report.
-    if (count.asked_in_window == 0) continue;
+    if (!MustList(*target, count)) continue;
     auto& base = target->base[count.team];
     // Counts of a team that was removed and added again begin at zero.
     if (count.asked < base.first || count.admitted < base.second) base = {0, 0};
@@ -199,11 +206,24 @@
   }
 }
 
+bool QuotaExchange::MustList(const Target& target, const TeamCount& count) const {
+  // No grant has shown yet that the target got the counts of all teams.
+  if (target.granted <= target.counted) return count.asked_in_window > 0;
+  const auto before = second_last_asked_.find(count.team);
+  return before == second_last_asked_.end() ? count.asked > 0
+                                            : before->second != count.asked;
+}
+
 void QuotaExchange::Coordinate() {
+  const SteadyTime now = clock_->Now();
+  if (!settled_ || now - last_allocation_ < kAllocationGap) return;
+  last_allocation_ = now;
   allocator_.Allocate();
+  if (!allocator_.active()) return;
+  if (now >= next_demand_ || allocator_.demands_urgent()) {
+    SendDemands(now < next_demand_);
+  }
   if (!allocator_.ready()) return;
-  const SteadyTime now = clock_->Now();
-  if (now >= next_demand_ || allocator_.demands_urgent()) SendDemands();
   if (now >= next_grant_ || allocator_.grants_urgent()) SendGrants();
 }
 
@@ -221,8 +241,8 @@
   allocator_.MarkGranted();
 }
 
-void QuotaExchange::SendDemands() {
-  next_demand_ = clock_->Now() + kPeriod;
+void QuotaExchange::SendDemands(bool urgent_only) {
+  if (!urgent_only) next_demand_ = clock_->Now() + kPeriod;
   std::set<std::string> receivers(first_.begin(), first_.end());
   for (const std::string& name : allocator_.coordinators()) receivers.insert(name);
   if (!ranked_.empty()) receivers.insert(ranked_.front());
@@ -237,7 +257,7 @@
     bytes = 0;
   };
   append();
-  for (TeamDemand& demand : allocator_.Demands()) {
+  for (TeamDemand& demand : allocator_.TakeDemands(urgent_only)) {
     const std::size_t size = demand.ByteSizeLong() + 3;
     if (bytes + size > kEntryBytes) append();
     bytes += size;
@@ -247,7 +267,6 @@
   for (const std::string& name : receivers) {
     for (const QuotaMessage& message : messages) Deliver(name, 0, message);
   }
-  allocator_.MarkDemandsSent();
 }
 
 void QuotaExchange::Deliver(const std::string& name, std::uint64_t nonce,
@@ -285,14 +304,19 @@
     last_[datagram.sender()].nonce = datagram.nonce();
     allocator_.OnReport(datagram.sender(), datagram.incarnation(), message.usage());
   } else if (message.has_demand()) {
-    allocator_.OnDemand(datagram.sender(), message.demand());
+    // A coordinator that begins waits for the demand of the others.
+    if (allocator_.OnDemand(datagram.sender(), message.demand())) {
+      next_demand_ = clock_->Now();
+    }
   }
+  if (datagram.sender() != self_.instance) Coordinate();
 }
 
 void QuotaExchange::OnGrant(const GossipDatagram& datagram) {
   const bool from_preferred = preferred_ && preferred_->name == datagram.sender();
   const bool from_current = current_ && current_->name == datagram.sender();
-  if (!from_preferred && !from_current) return;
+  const bool from_previous = previous_ && previous_->name == datagram.sender();
+  if (!from_preferred && !from_current && !from_previous) return;
   const auto report =
       std::find_if(sent_.begin(), sent_.end(), [&datagram](const SentReport& sent) {
         return sent.nonce == datagram.nonce();
@@ -305,13 +329,17 @@
   const SteadyTime valid_until = report->sent + std::chrono::milliseconds(std::min(
                                                     grant->valid_ms(), kGrantValidMs));
   if (now >= valid_until) return;
-  if (from_preferred) {
-    current_ = std::move(preferred_);
+  if (!from_current) {
+    // The first coordinator answers again, or answered late.
+    current_ = std::move(from_preferred ? preferred_ : previous_);
+    silent_.erase(current_->name);
     preferred_.reset();
+    previous_.reset();
     next_report_ = now;
   }
   current_->granted = now;
-  limiter_->SetGrant({grant->shares().begin(), grant->shares().end()}, valid_until);
+  limiter_->SetGrant({grant->shares().begin(), grant->shares().end()},
+                     report->sent + kOverdue, valid_until);
 }
 
 }  // namespace quetzal
--- a/src/libquetzal/quotas/quota_exchange.h
+++ b/src/libquetzal/quotas/quota_exchange.h
@@ -85,9 +85,11 @@
   void ChooseCoordinator();
   void Report();
   void ReportTo(Target* target, const std::vector<TeamCount>& counts);
+  /// Teams whose counts changed since the last two reports, so that a lost one is made up.
+  bool MustList(const Target& target, const TeamCount& count) const;
   void Coordinate();
   void SendGrants();
-  void SendDemands();
+  void SendDemands(bool urgent_only);
   void OnGrant(const GossipDatagram& datagram);
   bool IsNew(const GossipDatagram& datagram);
   void Deliver(const std::string& name, std::uint64_t nonce, QuotaMessage message);
@@ -109,11 +111,15 @@
   SteadyTime grown_;  ///< When the number of known nodes last grew.
   std::optional<Target> current_;
   std::optional<Target> preferred_;  ///< Ranked before `current_`; asked at times.
+  std::optional<Target> previous_;   ///< Was silent; may still answer.
+  std::map<std::string, std::uint64_t> last_asked_;  ///< As of the last report.
+  std::map<std::string, std::uint64_t> second_last_asked_;
   std::deque<SentReport> sent_;
   std::map<std::string, LastMessage> last_;
   std::uint64_t sequence_ = 0;
   std::uint64_t nonce_;
   SteadyTime last_tick_;
+  SteadyTime last_allocation_;
   SteadyTime next_report_;
   SteadyTime next_probe_;
   SteadyTime next_grant_;
--- a/src/libquetzal/quotas/team_limiter.cc
+++ b/src/libquetzal/quotas/team_limiter.cc
@@ -11,12 +11,17 @@
 
 constexpr Duration kMinRetry = std::chrono::milliseconds(50);
 constexpr Duration kMaxRetry = kQuotaWindow;
+constexpr Duration kFullWindowRetry = std::chrono::milliseconds(250);
+/// While a grant is overdue, a team may use this many times its usual rate at this node:
+/// its load may have jumped everywhere while the coordinator was lost.
+constexpr double kOverdueRate = 2;
+constexpr double kOverdueBurst = 3;
 /// Any 5 s overlap up to six of the seconds for which an allowance is drawn.
 constexpr double kSecondsPerWindow = 6;
 /// A report is sent early when a node is asked for this many times its even part of a
 /// quota within a report period of 0.25 s, and for no fewer than kMinSurge requests.
-constexpr double kSurge = 3 * 0.25;
-constexpr double kMinSurge = 4;
+constexpr double kSurge = 2 * 0.25;
+constexpr double kMinSurge = 3;
 
 }  // namespace
 
@@ -28,7 +33,7 @@
   const SteadyTime now = clock_->Now();
   ++team.asked;
   team.asked_window.Add(1, now);
-  if (team.limit.per_second > 0 && nodes_ > 0) {
+  if (team.limit.per_second > 0 && nodes_ > 0 && !team.share) {
     const double even = team.limit.per_second / static_cast<double>(nodes_);
     const auto recent = static_cast<double>(team.asked - team.asked_at_report);
     if (recent >= std::max(kMinSurge, kSurge * even)) surging_ = true;
@@ -54,8 +59,20 @@
                : std::max(team->share->WaitFor(1, now), Duration(kMinRetry));
   }
   const double limit = std::max(1.0, WindowLimit(team->limit));
-  if (team->admitted_window.Sum(now) + 1 <= limit) return Duration::zero();
-  return std::chrono::milliseconds(250);
+  if (team->admitted_window.Sum(now) + 1 > limit) return kFullWindowRetry;
+  return now >= overdue_at_ ? DecideOverdue(team, now) : Duration::zero();
+}
+
+Duration TeamLimiter::DecideOverdue(Team* team, SteadyTime now) {
+  if (!team->overdue) {
+    const double usual = std::max(
+        team->admitted_window.Sum(now) / static_cast<double>(kQuotaWindow.count()),
+        team->limit.per_second / static_cast<double>(std::max<std::size_t>(1, nodes_)));
+    const double per_second = kOverdueRate * usual;
+    const double burst = std::max(kOverdueBurst, per_second / 4);
+    team->overdue.emplace(per_second, burst, burst, now);
+  }
+  return team->overdue->Take(now) ? Duration::zero() : kFullWindowRetry;
 }
 
 Duration TeamLimiter::DecideWithoutGrant(Team* team, SteadyTime now) {
@@ -68,6 +85,10 @@
     team->allowed =
         std::floor(mean) + (random_.Unit() < mean - std::floor(mean) ? 1 : 0);
   }
+  // What was admitted under the last grant counts as well.
+  const double part =
+      std::ceil(WindowLimit(team->limit) / static_cast<double>(nodes_));
+  if (team->admitted_window.Sum(now) + 1 > part) return kFullWindowRetry;
   if (team->allowed >= 1) {
     team->allowed -= 1;
     return Duration::zero();
@@ -93,9 +114,11 @@
   nodes_ = nodes;
 }
 
-void TeamLimiter::SetGrant(const std::vector<TeamShare>& shares, SteadyTime valid_until) {
+void TeamLimiter::SetGrant(const std::vector<TeamShare>& shares, SteadyTime overdue_at,
+                           SteadyTime valid_until) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const SteadyTime now = clock_->Now();
+  overdue_at_ = overdue_at;
   valid_until_ = valid_until;
   std::set<std::string> limited;
   for (const TeamShare& share : shares) {
@@ -114,6 +137,7 @@
   }
   for (auto& [name, team] : teams_) {
     if (limited.count(name) == 0) team.share.reset();
+    team.overdue.reset();
   }
 }
 
--- a/src/libquetzal/quotas/team_limiter.h
+++ b/src/libquetzal/quotas/team_limiter.h
@@ -33,10 +33,11 @@
 /// while another one is locked.
 ///
 /// With a valid grant, a team with a share has a token bucket, and the others are bounded
-/// only by their whole quota. Without one, each second allows a part of the quota that is
-/// the same at every node; where that is below one request, it is drawn by lot. Tokens
-/// are not saved up then, because the saved tokens of all nodes together could exceed the
-/// quota of a small team many times.
+/// only by their whole quota; once the grant is older than usual, also by twice what they
+/// asked for before. Without a grant, each second allows a part of the quota that is the
+/// same at every node; where that is below one request, it is drawn by lot. Tokens are not
+/// saved up then, because the saved tokens of all nodes together could exceed the quota of
+/// a small team many times.
 class TeamLimiter final : public TeamQuota {
  public:
   TeamLimiter(const Clock* clock, std::uint64_t seed) : clock_(clock), random_(seed) {}
@@ -50,14 +51,16 @@
   /// without a grant.
   void SetNodes(std::size_t nodes);
 
-  /// Replaces the shares. They hold until `valid_until`, checked at every request.
-  void SetGrant(const std::vector<TeamShare>& shares, SteadyTime valid_until);
+  /// Replaces the shares. They hold until `valid_until`, checked at every request; from
+  /// `overdue_at` on a later grant should have arrived.
+  void SetGrant(const std::vector<TeamShare>& shares, SteadyTime overdue_at,
+                SteadyTime valid_until);
 
   /// Counts of all teams since their limits were first set.
   std::vector<TeamCount> Counts() const;
 
-  /// True when some team asks for much more than an even part of its quota since the last
-  /// MarkReported(), so that the next report should not wait.
+  /// True when some team that is not limited has asked for much more than an even part of
+  /// its quota since the last MarkReported(), so that the next report should not wait.
   bool surging() const { return surging_; }
   void MarkReported();
 
@@ -72,12 +75,14 @@
     std::uint64_t admitted = 0;
     std::uint64_t asked_at_report = 0;
     std::optional<TokenBucket> share;
+    std::optional<TokenBucket> overdue;  ///< While the grant is overdue.
     std::int64_t second = -1;  ///< That `allowed` belongs to.
     double allowed = 0;
   };
 
   /// Time until the next request fits; zero: this one does.
   Duration Decide(Team* team, SteadyTime now);
+  Duration DecideOverdue(Team* team, SteadyTime now);
   Duration DecideWithoutGrant(Team* team, SteadyTime now);
 
   const Clock* clock_;
@@ -86,6 +91,7 @@
   Random random_;
   std::map<std::string, Team> teams_;
   std::size_t nodes_ = 0;
+  SteadyTime overdue_at_{};
   SteadyTime valid_until_{};
 };
 
--- a/tests/quotas/quota_simulation_test.cc
+++ b/tests/quotas/quota_simulation_test.cc
@@ -78,13 +78,24 @@
   for (const double part : {kUsual, 0.9}) {
     auto loads = Teams(0, part, part);
     QuotaFleet fleet(GetParam(), loads);
-    fleet.set_loss(0.01);
     fleet.RunUntil(25);
     Check(fleet, part == kUsual ? "usual load" : "90% of the rate", kBegin, 25, loads);
     CheckRefused(fleet, kBegin, 25, loads.size(), 0);
   }
 }
 
+TEST_P(QuotaSimulation, LostDatagramsRefuseLittle) {
+  for (const double part : {kUsual, 0.9}) {
+    auto loads = Teams(0, part, part);
+    QuotaFleet fleet(GetParam(), loads);
+    fleet.set_loss(0.01);
+    fleet.RunUntil(60);
+    Check(fleet, part == kUsual ? "1% loss, usual load" : "1% loss, 90% of rate", kBegin,
+          60, loads);
+    CheckRefused(fleet, kBegin, 60, 1, 2);
+  }
+}
+
 TEST_P(QuotaSimulation, JumpsAreHeldAtTheLimit) {
   for (const double factor : {1.5, 5.0, 7.5}) {
     for (const double before : {0.0, kUsual, 1.0}) {
