Calls: calls of backend servers go before new requests

Cause: a call that a server makes while it runs another request queued by the priority of its route, behind new requests or was shed for them, and the work of the run above it was lost.

Change: the HTTP/1.1 server connection states the caller's address as the pseudo field :remote-address; a request from the address of the node's own backend server is nested, except on loopback addresses. Nested calls go first in the queue whatever their priority, wait until their deadline rather than their objective, and take no part in the estimate of what a caller has spent on earlier attempts. Between nodes the mark is x-qz-nested, sent only when it is set.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -20,11 +20,13 @@
 /// the limit has ended.
 constexpr double kMinRate = 0.5;
 
-/// A larger rank is shed earlier: low priority first, then long work, which holds up more
-/// others, then idempotent requests before others, then the request with the latest
-/// objective (or else deadline), since its caller can retry later.
+/// A larger rank is shed earlier: new requests before nested calls, then low priority
+/// first, then long work, which holds up more others, then idempotent requests before
+/// others, then the request with the latest objective (or else deadline), since its
+/// caller can retry later.
 auto ShedRank(const AdmissionRequest& request) {
-  return std::make_tuple(request.priority, !request.short_work, request.idempotent,
+  return std::make_tuple(!request.nested, request.priority, !request.short_work,
+                         request.idempotent,
                          request.objective.value_or(request.deadline));
 }
 
@@ -190,7 +192,7 @@
 
 bool AdmissionControl::MeetsObjective(const AdmissionRequest& request, Duration wait,
                                       SteadyTime now) const {
-  return !request.objective ||
+  return !request.objective || request.nested ||
          *request.objective - now >= wait + service_times_.Expected(request.work);
 }
 
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -34,6 +34,9 @@
   std::optional<Duration> max_wait;  ///< An expected wait this long is refused.
   std::string work;                  ///< Kind of work, to estimate its time.
   bool short_work = false;           ///< Set by Offer(); see ServiceTimes::IsShort.
+  /// Made by a backend server while it runs another request, whose work is lost without
+  /// the answer: goes before all other requests and has no objective but its deadline.
+  bool nested = false;
 };
 
 /// Decision on one request: kOk admits it, any other code refuses it (not run).
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -107,6 +107,7 @@
   if (head_.objective) request.objective = context_->Now() + *head_.objective;
   request.max_wait = head_.max_wait;
   request.work = head_.route;
+  request.nested = head_.nested;
   admission_id_ = context_->admission->Offer(
       request, [call = shared_from_this()](const AdmissionDecision& decision) {
         call->queue_.Run([call, decision] { call->OnDecision(decision); });
--- a/src/libquetzal/calls/call_headers.cc
+++ b/src/libquetzal/calls/call_headers.cc
@@ -32,6 +32,7 @@
 constexpr char kExpectContinue[] = "continue";
 constexpr char kTeamField[] = "x-qz-team";
 constexpr char kConfigurationField[] = "x-qz-configuration";
+constexpr char kNestedField[] = "x-qz-nested";
 
 constexpr std::uint64_t kMaxRemainingNs = 24ULL * 3600 * 1'000'000'000;
 constexpr std::uint64_t kMaxHops = 1'000'000;
@@ -162,6 +163,7 @@
   if (head.configuration_index) {
     headers.emplace_back(kConfigurationField, std::to_string(*head.configuration_index));
   }
+  if (head.nested) headers.emplace_back(kNestedField, "1");
   headers.insert(headers.end(), fields.begin(), fields.end());
   return headers;
 }
@@ -183,6 +185,7 @@
   head.configuration_index =
       ParseNumber(HeaderValue(headers, kConfigurationField), UINT64_MAX);
   head.idempotent = HeaderValue(headers, kIdempotentField) == "1";
+  head.nested = HeaderValue(headers, kNestedField) == "1";
   head.expects_continue = HeaderValue(headers, kExpectField) == kExpectContinue;
   const auto priority = ParseNumber(HeaderValue(headers, kPriorityField), kMaxCount);
   const auto remaining =
--- a/src/libquetzal/calls/call_headers.h
+++ b/src/libquetzal/calls/call_headers.h
@@ -25,6 +25,9 @@
 /// has another value belongs to an earlier request and is skipped.
 inline constexpr char kEchoField[] = ":echo";
 
+/// Pseudo field of an accepted request: the IP address of the caller's connection.
+inline constexpr char kRemoteAddressField[] = ":remote-address";
+
 /// Metadata that the coordinating node sends to the admitting node in addition to the
 /// caller's header fields.
 struct CallHead {
@@ -49,6 +52,7 @@
   std::string team;               ///< Of the caller; empty: not stated.
   /// Log index of the configuration that the sender used; only during a rollout.
   std::optional<std::uint64_t> configuration_index;
+  bool nested = false;  ///< Made by a backend server while it runs another request.
 };
 
 /// Interim statuses, sent before an answer; defined in RFC 9110 and RFC 2518.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -8,6 +8,7 @@
 #include "calls/caller_answer.h"
 #include "calls/ignoring_handler.h"
 #include "calls/local_stream.h"
+#include "calls/nested_call.h"
 #include "calls/via_header.h"
 
 namespace quetzal {
@@ -57,6 +58,8 @@
       via_(HeaderValue(headers, kViaHeader)),
       hops_(ParseHops(HeaderValue(headers, kHopsHeader))),
       metadata_(context_->dialect().ReadCaller(headers)),
+      nested_(IsNestedCall(HeaderValue(headers, kRemoteAddressField),
+                           context_->backend_server())),
       caller_(caller),
       body_(context_->options.replay_bytes, caller),
       answer_(context_->options.answer_bytes, caller, &context_->dialect()) {}
@@ -92,7 +95,9 @@
   }
   const auto timeout = std::chrono::milliseconds(route_->timeout_ms());
   requires_free_slot_ = route_->objective_ms() > 0;
-  if (metadata_.remaining) {
+  // A backend server passes on what is left of the run above a nested call: a short time
+  // does not mean that earlier attempts failed.
+  if (metadata_.remaining && !nested_) {
     elapsed_before_ = context_->caller_timeouts.ElapsedBefore(
         route_->name(), *metadata_.remaining, context_->Now());
   }
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -121,6 +121,8 @@
   std::string via_;
   int hops_ = 0;
   const CallerMetadata metadata_;
+  /// Made by the local backend server while it runs another request.
+  const bool nested_;
 
   SerialQueue queue_;
   std::shared_ptr<Stream> caller_;
@@ -161,6 +163,10 @@
   SteadyTime Objective() const {
     return started_ - elapsed_before_ + std::chrono::milliseconds(route_->objective_ms());
   }
+
+  /// Latest time at which it is still worth to wait for a slot. The run that a nested
+  /// call belongs to is lost without it, so that its answer counts until the deadline.
+  SteadyTime LatestUsefulAnswer() const { return nested_ ? deadline_ : Objective(); }
   std::shared_ptr<KeyGuard> guard_;  ///< Of a non-idempotent request.
 };
 
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -135,7 +135,7 @@
   return full_.empty() ? std::nullopt : ChooseShortestWait();
 }
 
-/// Null when no probed instance can answer within the objective.
+/// Null when no probed instance can answer in time.
 std::optional<BackendTarget> CallerCall::ChooseShortestWait() {
   const auto matcher = RefreshRoute();
   const auto shortest =
@@ -144,7 +144,9 @@
   const FullInstance full = *shortest;
   full_.erase(shortest);
   RememberRefusal({ResultCode::kServerFull, true, full.wait});
-  if (!matcher || context_->Now() + full.wait > Objective()) return std::nullopt;
+  if (!matcher || context_->Now() + full.wait > LatestUsefulAnswer()) {
+    return std::nullopt;
+  }
   for (const BackendTarget* target : matcher->Targets(service_)) {
     if (target->instance != full.instance || target->state != SERVER_UP) continue;
     context_->loads.Begin(*target);
@@ -203,6 +205,7 @@
   if (requires_free_slot_) head.max_wait = Duration::zero();
   head.rate_limit = context_->loads.rate_limit(target_->instance);
   head.priority = route_->priority();
+  head.nested = nested_;
   head.remaining = std::max(Duration::zero(), deadline_ - context_->Now());
   head.expects_continue = !confirmed_;
   head.hops = hops_;
--- a/src/plugins/http1_beast/http1_server_connection.cc
+++ b/src/plugins/http1_beast/http1_server_connection.cc
@@ -31,6 +31,17 @@
   return IsSafeMethod(bytes.substr(0, bytes.find(' ')));
 }
 
+/// IPv4 addresses that an IPv6 socket has mapped are stated as IPv4 addresses.
+std::string RemoteAddress(const Http1Connection::Socket& socket) {
+  boost::system::error_code ec;
+  const auto remote = socket.remote_endpoint(ec);
+  if (ec) return {};
+  const auto address = remote.address();
+  if (!address.is_v6() || !address.to_v6().is_v4_mapped()) return address.to_string();
+  return boost::asio::ip::make_address_v4(boost::asio::ip::v4_mapped, address.to_v6())
+      .to_string();
+}
+
 int StatusOf(const StreamHeaders& headers) {
   const std::string_view text = HeaderValue(headers, ":status");
   int status = 200;
@@ -42,7 +53,9 @@
 
 Http1ServerConnection::Http1ServerConnection(
     std::shared_ptr<Http1ConnectionManager> manager, Socket socket)
-    : Http1Connection(std::move(socket)), manager_(std::move(manager)) {}
+    : Http1Connection(std::move(socket)),
+      manager_(std::move(manager)),
+      remote_address_(RemoteAddress(this->socket())) {}
 
 void Http1ServerConnection::Begin() {
   boost::asio::post(
@@ -131,6 +144,9 @@
   reading_ = exchange;
   exchanges_.push_back(exchange);
   const bool expects_continue = HeaderValue(head.headers, "expect") == "100-continue";
+  if (!remote_address_.empty()) {
+    head.headers.emplace(head.headers.begin(), ":remote-address", remote_address_);
+  }
   head.headers.emplace(head.headers.begin(), ":method", std::move(head.method));
   const StreamAcceptor acceptor = manager_->acceptor();
   if (acceptor) {
--- a/src/plugins/http1_beast/http1_server_connection.h
+++ b/src/plugins/http1_beast/http1_server_connection.h
@@ -13,7 +13,9 @@
 
 class Http1ConnectionManager;
 
-/// A connection from a caller. Each request becomes an accepted stream. Pipelined
+/// A connection from a caller. Each request becomes an accepted stream, whose pseudo
+/// field
+/// ":remote-address" states the IP address of the caller. Pipelined
 /// requests with safe methods are served concurrently; answers are sent in the order of
 /// the requests.
 class Http1ServerConnection final : public Http1Connection, private Http1Sink {
@@ -87,6 +89,7 @@
   void Close();
 
   const std::shared_ptr<Http1ConnectionManager> manager_;
+  const std::string remote_address_;  ///< Empty when the connection is already broken.
   State state_ = State::kOpen;
   std::unique_ptr<Http1Parser> parser_;
   std::string unparsed_;                       ///< Received bytes that wait to be parsed.
