Admission: requests in time go before late ones

Cause: when a slot came free, every late request but the last of the queue was refused, also when all of them were late; an arriving request that would be late was refused although no other wanted the next slot; late requests counted in the wait of those that overtake them; and a full queue shed a request in time for a late one of higher priority.

Change: late requests, whose objective or deadline cannot be met even if they are admitted at once, come after all others in the order of service, in the estimate of a wait and in a full queue. A late request is queued while no request in time is. One that is passed over is still refused, so that its caller can go elsewhere. With a stated rate limit, late requests are refused as before.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -83,16 +83,18 @@
   if (request.max_wait && wait >= *request.max_wait) {
     return {{request.id, ResultCode::kServerFull, wait}};
   }
-  if (!CanFinish(request, wait, now) || !MeetsObjective(request, wait, now)) {
+  const bool in_time = MeetsObjective(request, wait, now);
+  if (!CanFinish(request, wait, now) || !(in_time || MayQueueLate(request, wait, now))) {
     return {{request.id, ResultCode::kShed, std::max(wait, kMinRetryAfter)}};
   }
   Decisions decisions;
   if (queue_.size() >= QueueLimit()) {
-    if (queue_.empty() || !ShedBefore(queue_.front(), request)) {
+    const auto victim = FindVictim(request, now);
+    if (victim == queue_.end()) {
       return {Refuse(request.id, ResultCode::kServerFull, now)};
     }
-    decisions.push_back(Refuse(queue_.front().id, ResultCode::kShed, now));
-    queue_.erase(queue_.begin());
+    decisions.push_back(Refuse(victim->id, ResultCode::kShed, now));
+    queue_.erase(victim);
   }
   Enqueue(request);
   AdmitQueued(now, &decisions);
@@ -165,8 +167,10 @@
                                            SteadyTime now) const {
   Duration ahead{};
   std::size_t requests_ahead = 0;
+  const bool late = IsLate(request, now);
   for (const AdmissionRequest& other : queue_) {
-    if (ShedBefore(other, request)) continue;
+    const bool other_late = IsLate(other, now);
+    if (late == other_late ? ShedBefore(other, request) : other_late) continue;
     ahead += service_times_.Expected(other.work);
     ++requests_ahead;
   }
@@ -196,6 +200,18 @@
          *request.objective - now >= wait + service_times_.Expected(request.work);
 }
 
+bool AdmissionControl::HasQueuedInTime(SteadyTime now) const {
+  return std::any_of(queue_.begin(), queue_.end(),
+                     [&](const AdmissionRequest& other) { return !IsLate(other, now); });
+}
+
+/// A server that states a rate takes fewer requests than it has slots for: all of them
+/// are for requests in time.
+bool AdmissionControl::MayQueueLate(const AdmissionRequest& request, Duration wait,
+                                    SteadyTime now) const {
+  return !rate_limit_ && CanFinish(request, wait, now) && !HasQueuedInTime(now);
+}
+
 Duration AdmissionControl::RetryAfter(SteadyTime now) const {
   Duration ahead{};
   for (const AdmissionRequest& other : queue_)
@@ -216,24 +232,53 @@
   queue_.insert(it, request);
 }
 
+/// Late requests give way to one in time, whatever their rank.
+AdmissionControl::Queue::iterator AdmissionControl::FindVictim(
+    const AdmissionRequest& request, SteadyTime now) {
+  if (!IsLate(request, now)) {
+    const auto late =
+        std::find_if(queue_.begin(), queue_.end(),
+                     [&](const AdmissionRequest& other) { return IsLate(other, now); });
+    if (late != queue_.end()) return late;
+  }
+  const bool has_lower = !queue_.empty() && ShedBefore(queue_.front(), request);
+  return has_lower ? queue_.begin() : queue_.end();
+}
+
 void AdmissionControl::AdmitQueued(SteadyTime now, Decisions* decisions) {
   while (!queue_.empty() && HasFreeSlot(now)) {
     if (rate_limit_ && rate_limit_->WaitFor(1, now) > Duration::zero()) return;
-    const AdmissionRequest next = queue_.back();
-    queue_.pop_back();
-    // An answer after its objective is of little use: the slot goes to a queued request
-    // that can still meet its own.
-    const bool in_time = MeetsObjective(next, Duration::zero(), now) || queue_.empty();
-    if (!in_time || !CanFinish(next, Duration::zero(), now)) {
-      decisions->push_back(Refuse(next.id, ResultCode::kShed, now));
-      continue;
-    }
+    const auto next = TakeNext(now, decisions);
+    if (!next) return;
     if (rate_limit_) rate_limit_->Take(now);
     ++outstanding_;
-    decisions->push_back({next.id, ResultCode::kOk, {}});
+    decisions->push_back({next->id, ResultCode::kOk, {}});
   }
 }
 
+std::optional<AdmissionRequest> AdmissionControl::TakeNext(SteadyTime now,
+                                                           Decisions* decisions) {
+  // An answer after its objective is of little use: while a queued request can still meet
+  // its own, the late ones before it are refused, so that their callers can go elsewhere.
+  const bool has_in_time = HasQueuedInTime(now);
+  while (!queue_.empty()) {
+    const AdmissionRequest& next = queue_.back();
+    if (CanFinish(next, Duration::zero(), now) && !(has_in_time && IsLate(next, now))) {
+      AdmissionRequest taken = next;
+      queue_.pop_back();
+      return taken;
+    }
+    ShedLast(now, decisions);
+  }
+  return std::nullopt;
+}
+
+void AdmissionControl::ShedLast(SteadyTime now, Decisions* decisions) {
+  const std::uint64_t id = queue_.back().id;
+  queue_.pop_back();
+  decisions->push_back(Refuse(id, ResultCode::kShed, now));
+}
+
 AdmissionControl::Decisions AdmissionControl::RefuseQueue(ResultCode code,
                                                           SteadyTime now) {
   Decisions decisions;
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -47,8 +47,9 @@
 };
 
 /// Decides which requests go to the backend server: slots, a bounded queue in order of
-/// priority and urgency, and shedding of requests that cannot finish in time. The caller
-/// passes the time and serializes the calls.
+/// priority and urgency, and shedding of requests that cannot finish in time. A request
+/// that can meet its objective goes before any that cannot; those are late, and run when
+/// no other request needs the slot. The caller passes the time and serializes the calls.
 class AdmissionControl {
  public:
   using Decisions = std::vector<AdmissionDecision>;
@@ -91,6 +92,8 @@
   std::size_t queued() const { return queue_.size(); }
 
  private:
+  using Queue = std::vector<AdmissionRequest>;
+
   std::uint32_t EffectiveSlots(SteadyTime now) const;
   bool HasFreeSlot(SteadyTime now) const { return outstanding_ < EffectiveSlots(now); }
   /// Slots that the rate limit allows to be in use on average.
@@ -105,9 +108,23 @@
   bool CanFinish(const AdmissionRequest& request, Duration wait, SteadyTime now) const;
   bool MeetsObjective(const AdmissionRequest& request, Duration wait,
                       SteadyTime now) const;
+  /// True when `request` cannot meet its objective or deadline even if it is admitted
+  /// now.
+  bool IsLate(const AdmissionRequest& request, SteadyTime now) const {
+    return !MeetsObjective(request, Duration::zero(), now) ||
+           !CanFinish(request, Duration::zero(), now);
+  }
+  bool HasQueuedInTime(SteadyTime now) const;
+  /// True when a late request may wait `wait` for a slot that no other one needs.
+  bool MayQueueLate(const AdmissionRequest& request, Duration wait, SteadyTime now) const;
   AdmissionDecision Refuse(std::uint64_t id, ResultCode code, SteadyTime now) const;
   void Enqueue(const AdmissionRequest& request);
+  /// The queued request that gives its place in a full queue to `request`; end() if none.
+  Queue::iterator FindVictim(const AdmissionRequest& request, SteadyTime now);
   void AdmitQueued(SteadyTime now, Decisions* decisions);
+  /// Removes the queued request that takes a free slot, and those that cannot use it.
+  std::optional<AdmissionRequest> TakeNext(SteadyTime now, Decisions* decisions);
+  void ShedLast(SteadyTime now, Decisions* decisions);
   Decisions RefuseQueue(ResultCode code, SteadyTime now);
 
   AdmissionLimits limits_;
@@ -116,7 +133,7 @@
   bool stopped_ = false;
   std::uint32_t outstanding_ = 0;
   ServiceTimes service_times_;
-  std::vector<AdmissionRequest> queue_;  ///< The next request to admit is last.
+  Queue queue_;  ///< By rank; the first in the order of service is last.
 };
 
 }  // namespace quetzal
