--- a/src/libquetzal/calls/call_headers.h
+++ b/src/libquetzal/calls/call_headers.h
@@ -49,6 +49,7 @@
   std::string team;               ///< Of the caller; empty: not stated.
   /// Log index of the configuration that the sender used; only during a rollout.
   std::optional<std::uint64_t> configuration_index;
+  bool nested = false;  ///< Made by a backend server while it runs another request.
 };
 
 /// Interim statuses, sent before an answer; defined in RFC 9110 and RFC 2518.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -8,6 +8,7 @@
 #include "calls/caller_answer.h"
 #include "calls/ignoring_handler.h"
 #include "calls/local_stream.h"
+#include "calls/nested_call.h"
 #include "calls/via_header.h"
 
 namespace quetzal {
@@ -99,7 +100,9 @@
   }
   const auto timeout = std::chrono::milliseconds(route_->timeout_ms());
   requires_free_slot_ = route_->objective_ms() > 0;
-  if (metadata_.remaining) {
+  // A backend server passes on what is left of the run above a nested call: a short time
+  // does not mean that earlier attempts failed.
+  if (metadata_.remaining && !nested_) {
     elapsed_before_ = context_->caller_timeouts.ElapsedBefore(
         route_->name(), *metadata_.remaining, context_->Now());
   }
@@ -152,6 +155,7 @@
     return ResultCode::kNoRoute;
   }
   SetRoute(*matcher, *route);
+  nested_ = IsNestedCall(*route, matcher->teams().has_teams());
   service_ = matcher->PickService(*route_, context_->RandomUnit());
   if (service_.empty()) return ResultCode::kNoBackendServer;
   const Policy& policy = matcher->snapshot().configuration->policy();
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -126,6 +126,7 @@
   std::string via_;
   int hops_ = 0;
   const CallerMetadata metadata_;
+  bool nested_ = false;  ///< See IsNestedCall.
 
   SerialQueue queue_;
   std::shared_ptr<Stream> caller_;
@@ -168,6 +169,9 @@
   SteadyTime Objective() const {
     return started_ - elapsed_before_ + std::chrono::milliseconds(route_->objective_ms());
   }
+  /// Latest time at which it is still worth to wait for a slot. The run that a nested
+  /// call belongs to is lost without it, so that its answer counts until the deadline.
+  SteadyTime LatestUsefulAnswer() const { return nested_ ? deadline_ : Objective(); }
   CallRollout rollout_;
   std::shared_ptr<KeyGuard> guard_;  ///< Of a non-idempotent request.
 };
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -142,7 +142,7 @@
   return full_.empty() ? std::nullopt : ChooseShortestWait();
 }
 
-/// Null when no probed instance can answer within the objective.
+/// Null when no probed instance can answer in time.
 std::optional<BackendTarget> CallerCall::ChooseShortestWait() {
   const auto matcher = RefreshRoute();
   const auto by_wait = [](const auto& a, const auto& b) { return a.wait < b.wait; };
@@ -153,7 +153,7 @@
   // An instance may have left, or be of a version that the request may not use any more.
   for (std::size_t n = 0; n < full_.size(); ++n) {
     const FullInstance full = full_[n];
-    if (context_->Now() + full.wait > Objective()) return std::nullopt;
+    if (context_->Now() + full.wait > LatestUsefulAnswer()) return std::nullopt;
     for (const BackendTarget* target : targets) {
       if (target->instance != full.instance || target->state != SERVER_UP) continue;
       full_.erase(full_.begin(), full_.begin() + static_cast<std::ptrdiff_t>(n) + 1);
@@ -223,6 +223,7 @@
   head.rate_limit = context_->loads.rate_limit(target_->instance);
   head.priority = team_priority_.value_or(route_->priority());
   head.team = team_;
+  head.nested = nested_;
   head.remaining = std::max(Duration::zero(), deadline_ - context_->Now());
   head.expects_continue = !confirmed_;
   head.hops = hops_;
--- a/src/libquetzal/calls/rollout_router.h
+++ b/src/libquetzal/calls/rollout_router.h
@@ -49,8 +49,8 @@
                      bool repeated, std::chrono::microseconds since_start,
                      CanaryDraw* draw);
 
-  /// Frees the place that `draw` holds in the share: no server of the new version has seen
-  /// the request. It uses the old version from now on.
+  /// Frees the place that `draw` holds in the share: no server of the new version has
+  /// seen the request. It uses the old version from now on.
   void Release(const std::string& service, CanaryDraw* draw);
 
   /// Counts a request that a server has seen, once per request.
@@ -69,8 +69,8 @@
 
  private:
   struct Share {
-    std::uint64_t rollout = 0;  ///< Log index of its order.
-    std::uint64_t served = 0;   ///< Requests that a server has seen, of either version.
+    std::uint64_t rollout = 0;   ///< Log index of its order.
+    std::uint64_t served = 0;    ///< Requests that a server has seen, of either version.
     std::uint64_t canaries = 0;  ///< Requests sent to the new version, also unfinished.
   };
 
--- a/src/libquetzal/quotas/quota_allocator.cc
+++ b/src/libquetzal/quotas/quota_allocator.cc
@@ -10,9 +10,9 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// What the window still allows may be used up within this time. Longer than the time from
-/// an admission until the grants take it into account, so that shares settle at the limit
-/// instead of swinging around it.
+/// What the window still allows may be used up within this time. Longer than the time
+/// from an admission until the grants take it into account, so that shares settle at the
+/// limit instead of swinging around it.
 constexpr double kHorizonSeconds = 0.6;
 /// Parts of the tolerance of 10% and 20 requests that are used up on purpose, so that the
 /// random arrivals of small teams are not refused.
@@ -21,8 +21,8 @@
 /// Of the quota's rate, for a limited team while its window has room left.
 constexpr double kMaxRate = 1.25;
 constexpr double kDemandSeconds = 0.3;  ///< Time constant of the demand average.
-/// Standard deviations by which demand must exceed what is allowed: few requests that come
-/// together do not show a high rate.
+/// Standard deviations by which demand must exceed what is allowed: few requests that
+/// come together do not show a high rate.
 constexpr double kDemandDeviations = 2;
 /// Part of a share that is divided evenly, so that nodes new to a team get some of it.
 constexpr double kEvenPart = 0.05;
@@ -111,8 +111,8 @@
     const double most = WindowLimit(team->limit);
     team->earlier.Spread(std::min<double>(static_cast<double>(usage.admitted()), most),
                          now);
-    known->per_second = static_cast<double>(usage.asked()) /
-                        static_cast<double>(kQuotaWindow.count());
+    known->per_second =
+        static_cast<double>(usage.asked()) / static_cast<double>(kQuotaWindow.count());
   } else {
     team->reported.Add(static_cast<double>(usage.admitted() - known->admitted), now);
     const double before = known->Demand(now);
@@ -234,16 +234,14 @@
     const double assumed = team->limit.per_second * unknown_seconds *
                            static_cast<double>(coverage.own) /
                            static_cast<double>(coverage.all);
-    team->admitted =
-        team->reported.Sum(now) + std::max(team->earlier.Sum(now), assumed);
+    team->admitted = team->reported.Sum(now) + std::max(team->earlier.Sum(now), assumed);
   }
   double admitted = team->admitted;
   double demand = team->demand;
   for (const auto& [name, coordinator] : coordinators_) {
     if (!Heard(coordinator)) continue;
     const auto it = coordinator.demands.find(team->limit.team);
-    if (it == coordinator.demands.end() ||
-        now - it->second.updated > kDemandTimeout) {
+    if (it == coordinator.demands.end() || now - it->second.updated > kDemandTimeout) {
       continue;
     }
     admitted += it->second.admitted;
--- a/src/libquetzal/quotas/quota_allocator.h
+++ b/src/libquetzal/quotas/quota_allocator.h
@@ -16,10 +16,10 @@
 /// Divides the quotas among the nodes that report to this coordinator. Does no I/O; not
 /// thread-safe.
 ///
-/// Every coordinator computes the same for each team: what the window still allows, less a
-/// reserve for nodes that no coordinator has heard from, may be used within kHorizon. While
-/// the demand over all data centres is below that rate, the team is not limited. Otherwise
-/// a coordinator gets the part of the rate that is its part of the demand.
+/// Every coordinator computes the same for each team: what the window still allows, less
+/// a reserve for nodes that no coordinator has heard from, may be used within kHorizon.
+/// While the demand over all data centres is below that rate, the team is not limited.
+/// Otherwise a coordinator gets the part of the rate that is its part of the demand.
 ///
 /// Two coordinators of one data centre do not double anything: each one divides only the
 /// part that belongs to the nodes that report to it, and counts the others as reserved
@@ -46,11 +46,12 @@
   /// True while nodes report to this coordinator.
   bool active() const { return active_; }
 
-  /// True once the nodes and the other coordinators had time to report, so that grants may
-  /// be sent.
+  /// True once the nodes and the other coordinators had time to report, so that grants
+  /// may be sent.
   bool ready() const;
 
-  /// A share became so much smaller since MarkGranted() that nodes should learn it at once.
+  /// A share became so much smaller since MarkGranted() that nodes should learn it at
+  /// once.
   bool grants_urgent() const { return grants_urgent_; }
   void MarkGranted();
 
@@ -64,8 +65,8 @@
   std::vector<TeamShare> SharesFor(const std::string& node) const;
 
   /// Demand of the nodes that report here, for the other coordinators. Teams far below
-  /// their quota are included in one of four calls. `urgent_only`: only teams whose demand
-  /// grew much.
+  /// their quota are included in one of four calls. `urgent_only`: only teams whose
+  /// demand grew much.
   std::vector<TeamDemand> TakeDemands(bool urgent_only);
 
   /// Other coordinators heard from lately.
--- a/src/libquetzal/quotas/quota_exchange.cc
+++ b/src/libquetzal/quotas/quota_exchange.cc
@@ -14,7 +14,8 @@
 /// Validity of a grant, from the report that it answers: 1 s after the grant's arrival at
 /// the usual delays.
 constexpr std::uint32_t kGrantValidMs = 1250;
-/// Age of a grant, from the report that it answers, that is reached only when one is lost.
+/// Age of a grant, from the report that it answers, that is reached only when one is
+/// lost.
 constexpr Duration kOverdue = std::chrono::milliseconds(750);
 /// A lost grant or two; the next coordinator can answer before the last grant expires.
 constexpr Duration kSilence = std::chrono::milliseconds(650);
@@ -317,10 +318,9 @@
   const bool from_current = current_ && current_->name == datagram.sender();
   const bool from_previous = previous_ && previous_->name == datagram.sender();
   if (!from_preferred && !from_current && !from_previous) return;
-  const auto report =
-      std::find_if(sent_.begin(), sent_.end(), [&datagram](const SentReport& sent) {
-        return sent.nonce == datagram.nonce();
-      });
+  const auto report = std::find_if(
+      sent_.begin(), sent_.end(),
+      [&datagram](const SentReport& sent) { return sent.nonce == datagram.nonce(); });
   if (report == sent_.end()) return;
   const auto grant =
       grants_.Add(datagram.sender(), datagram.incarnation(), datagram.quota());
--- a/src/libquetzal/quotas/quota_exchange.h
+++ b/src/libquetzal/quotas/quota_exchange.h
@@ -32,9 +32,9 @@
   std::uint64_t incarnation = 0;
 };
 
-/// Reports the usage of this node to a coordinator, applies the grants that come back, and
-/// is a coordinator itself for the nodes that report to it. Does no I/O: datagrams are
-/// given to a callback. Not thread-safe.
+/// Reports the usage of this node to a coordinator, applies the grants that come back,
+/// and is a coordinator itself for the nodes that report to it. Does no I/O: datagrams
+/// are given to a callback. Not thread-safe.
 ///
 /// A node chooses the first live member of its data centre by rendezvous hashing; when
 /// that one stays silent, the next one, until the first one answers again. A grant is
@@ -85,7 +85,8 @@
   void ChooseCoordinator();
   void Report();
   void ReportTo(Target* target, const std::vector<TeamCount>& counts);
-  /// Teams whose counts changed since the last two reports, so that a lost one is made up.
+  /// Teams whose counts changed since the last two reports, so that a lost one is made
+  /// up.
   bool MustList(const Target& target, const TeamCount& count) const;
   void Coordinate();
   void SendGrants();
--- a/src/libquetzal/quotas/team_limiter.cc
+++ b/src/libquetzal/quotas/team_limiter.cc
@@ -82,12 +82,10 @@
   const auto second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch());
   if (second.count() != team->second) {
     team->second = second.count();
-    team->allowed =
-        std::floor(mean) + (random_.Unit() < mean - std::floor(mean) ? 1 : 0);
+    team->allowed = std::floor(mean) + (random_.Unit() < mean - std::floor(mean) ? 1 : 0);
   }
   // What was admitted under the last grant counts as well.
-  const double part =
-      std::ceil(WindowLimit(team->limit) / static_cast<double>(nodes_));
+  const double part = std::ceil(WindowLimit(team->limit) / static_cast<double>(nodes_));
   if (team->admitted_window.Sum(now) + 1 > part) return kFullWindowRetry;
   if (team->allowed >= 1) {
     team->allowed -= 1;
--- a/tests/calls/rollout_calls_test.cc
+++ b/tests/calls/rollout_calls_test.cc
@@ -26,7 +26,9 @@
     cluster_.SetState(node, SERVER_UP);
   }
   /// The log index of the next configuration.
-  std::uint64_t NextIndex() const { return cluster_.routing.current->version.index() + 1; }
+  std::uint64_t NextIndex() const {
+    return cluster_.routing.current->version.index() + 1;
+  }
 
   void StartRollout() {
     Rollout* rollout = cluster_.configuration.add_rollouts();
@@ -281,7 +283,8 @@
   for (const VersionCounts& counts : Counts()) {
     EXPECT_EQ(counts.service(), "desk");
     EXPECT_EQ(counts.route(), "reports");
-    EXPECT_EQ(counts.started().index(), cluster_.configuration.rollouts(0).started().index());
+    EXPECT_EQ(counts.started().index(),
+              cluster_.configuration.rollouts(0).started().index());
   }
   Advance(ROLLOUT_COMPLETE);
   EXPECT_TRUE(Counts().empty());
--- a/tests/quotas/quota_simulation_test.cc
+++ b/tests/quotas/quota_simulation_test.cc
@@ -160,7 +160,8 @@
                  0.8 * 0.5 * loads[0].limit.per_second) {
         settled += 0.05;
       }
-      std::printf("large team has 80%% of its rate %.2f s after it moved\n", settled - 15);
+      std::printf("large team has 80%% of its rate %.2f s after it moved\n",
+                  settled - 15);
       EXPECT_LE(settled, 16.5);
     }
   }
