Control: shorter windows and an earlier verdict on slow versions

Cause: slow versions were condemned late at low request rates. Change: judge the last 5, 10 and 30 seconds; condemn at twice the mean plus 1.5 relative errors; doubt a version at a tail probability of 0.05.

--- a/src/libquetzal/control/response_comparison.cc
+++ b/src/libquetzal/control/response_comparison.cc
@@ -18,14 +18,14 @@
 /// A rollout is evaluated some 300 times a minute on several routes, so condemning needs
 /// a probability that repeated looks cannot reach by chance.
 constexpr double kCondemningTail = 1e-6;
-constexpr double kUnclearTail = 0.01;
+constexpr double kUnclearTail = 0.05;
 
 /// Response times are summed in whole milliseconds.
 constexpr double kMinSlowdownMs = 5;
 
 /// The mean of n response times that vary as much as their mean has a relative error of
 /// 1 / sqrt(n). The factors are multiples of it.
-constexpr double kCondemningErrors = 3;
+constexpr double kCondemningErrors = 1.5;
 constexpr double kUnclearErrors = 2.5;
 constexpr double kUnclearRatio = 1.2;
 
--- a/src/libquetzal/control/rollout_judge.cc
+++ b/src/libquetzal/control/rollout_judge.cc
@@ -25,7 +25,7 @@
 
 /// Periods that are judged besides the whole one; a version that turns bad late is found
 /// in them before the whole period shows it.
-constexpr std::array<std::size_t, 2> kRecentSeconds = {8, 30};
+constexpr std::array<std::size_t, 3> kRecentSeconds = {5, 10, 30};
 
 /// A server that is killed or frozen loses or delays all requests it holds, whatever its
 /// version; the reports show this within two adjacent seconds. A bad version is bad in
