--- a/src/control/control_metrics.cc
+++ b/src/control/control_metrics.cc
@@ -15,12 +15,37 @@
   return {name, help, MetricKind::kGauge, static_cast<double>(value)};
 }
 
+void AddSide(const std::string& side, const std::string& help,
+             const ResponseCounts& counts, std::vector<Metric>* metrics) {
+  const std::string name = "quetzal_rollout_" + side;
+  metrics->push_back(Gauge(name + "_answered",
+                           "Complete responses of the " + help + ", other than failures.",
+                           counts.answered));
+  metrics->push_back(
+      Gauge(name + "_failed", "Failures of the " + help + ".", counts.failed));
+  metrics->push_back(Gauge(name + "_seconds",
+                           "Sum of the response times of the " + help + ".",
+                           static_cast<double>(counts.time_ms) / 1000));
+}
+
+/// Responses reported to this instance; the leader has those of all nodes.
+void AddRollouts(const RolloutController& rollouts, std::vector<Metric>* metrics) {
+  const RouteResponses responses = rollouts.responses();
+  metrics->push_back(Gauge("quetzal_rollouts_in_progress", "Rollouts in progress.",
+                           rollouts.in_progress()));
+  AddSide("old", "old versions during rollouts in progress", responses.old_version,
+          metrics);
+  AddSide("new", "new versions during rollouts in progress", responses.new_version,
+          metrics);
+}
+
 }  // namespace
 
 std::vector<Metric> ControlMetrics(const AgreementService& agreement,
                                    const IntentMachine& machine,
                                    const ControlService& service,
-                                   const Publisher& publisher) {
+                                   const Publisher& publisher,
+                                   const RolloutController& rollouts) {
   const LeadershipView view = agreement.leadership();
   const AgreementCounters counters = agreement.counters();
   const Version version = machine.version();
@@ -52,6 +77,7 @@
       Gauge("quetzal_intents_open", "Plans that wait to be confirmed.",
             machine.OpenIntents().size()),
   };
+  AddRollouts(rollouts, &metrics);
   if (report.convergence_time) {
     metrics.push_back(
         Gauge("quetzal_configuration_convergence_seconds",
--- a/src/control/control_metrics.h
+++ b/src/control/control_metrics.h
@@ -7,6 +7,7 @@
 #include "base/metrics.h"
 #include "control/control_service.h"
 #include "control/intent_machine.h"
+#include "control/rollout_controller.h"
 #include "distribution/publisher.h"
 
 namespace quetzal {
@@ -15,7 +16,8 @@
 std::vector<Metric> ControlMetrics(const AgreementService& agreement,
                                    const IntentMachine& machine,
                                    const ControlService& service,
-                                   const Publisher& publisher);
+                                   const Publisher& publisher,
+                                   const RolloutController& rollouts);
 
 }  // namespace quetzal
 
--- a/src/control/control_program.cc
+++ b/src/control/control_program.cc
@@ -143,6 +143,9 @@
   control_group_reconciler_ =
       std::make_unique<ControlGroupReconciler>(ControlGroupReconciler::Dependencies{
           agreement_.get(), machine_.get(), control_executor_.get(), clock_, &events_});
+  rollout_controller_ = std::make_unique<RolloutController>(
+      RolloutController::Dependencies{agreement_.get(), machine_.get(), service_.get(),
+                                      control_executor_.get(), clock_, &events_});
   metrics_ = MetricsFormatRegistry::Instance().Create("prometheus");
   admin_ = AdminServerRegistry::Instance().Create("cpprest");
   if (!settings.Text("gossip").empty()) MakeMembership();
@@ -214,6 +217,7 @@
   api_->Start();
   if (key_group_reconciler_) key_group_reconciler_->Start();
   control_group_reconciler_->Start();
+  rollout_controller_->Start();
   publisher_->Start();
   agreement_->Start();
   const Endpoint streams =
@@ -242,8 +246,8 @@
 void ControlProgram::ReplyWithMetrics(AdminReply reply) {
   control_executor_->Post([this, reply = std::move(reply)] {
     reply({200, metrics_->content_type(),
-           metrics_->Format(
-               ControlMetrics(*agreement_, *machine_, *service_, *publisher_))});
+           metrics_->Format(ControlMetrics(*agreement_, *machine_, *service_, *publisher_,
+                                           *rollout_controller_))});
   });
 }
 
@@ -269,6 +273,7 @@
       membership_->Stop();
     }
     control_group_reconciler_->Stop();
+    rollout_controller_->Stop();
     service_->Stop();
     stopped.set_value();
   });
--- a/src/control/control_program.h
+++ b/src/control/control_program.h
@@ -24,6 +24,7 @@
 #include "control/key_group_reconciler.h"
 #include "control/order_interface.h"
 #include "control/order_service.h"
+#include "control/rollout_controller.h"
 #include "distribution/publisher.h"
 #include "kernel/runtime.h"
 #include "net/admin_server.h"
@@ -81,6 +82,7 @@
   std::unique_ptr<ControlService> service_;
   std::unique_ptr<KeyGroupReconciler> key_group_reconciler_;
   std::unique_ptr<ControlGroupReconciler> control_group_reconciler_;
+  std::unique_ptr<RolloutController> rollout_controller_;
   std::unique_ptr<IntentApi> api_;
   std::unique_ptr<MetricsFormat> metrics_;
   std::unique_ptr<AdminServer> admin_;
