Control: operators plan, confirm, show and roll back rollouts

Cause: a rollout could be started by an order only, and nobody could end it. Change: the intent file field rollout starts a rollout or rolls one back, also where orders replace the configuration; a plan that no longer names the rollout in progress does not run. GET /v1/rollouts, quetzalctl rollouts and roll-back.

--- a/src/libquetzal/configuration/intent_file.cc
+++ b/src/libquetzal/configuration/intent_file.cc
@@ -131,6 +131,33 @@
   }
 }
 
+/// Throws unless `content` has nothing but a description.
+void RefuseOtherChanges(const JsonCursor& cursor, const IntentContent& content) {
+  IntentContent rest = content;
+  rest.clear_description();
+  if (rest.ByteSizeLong() > 0) cursor.Refuse("no other change in the same intent");
+}
+
+/// A rollout is judged by the responses of two versions, so nothing else may change them.
+void ReadRollout(const JsonCursor& root, IntentContent* content) {
+  if (!root.Has("rollout")) return;
+  const JsonCursor cursor = root.At("rollout");
+  RefuseOtherChanges(cursor, *content);
+  cursor.ExpectObject({"service", "version", "duration_ms", "roll_back"});
+  RolloutIntent* rollout = content->mutable_rollout();
+  rollout->set_service(cursor.At("service").Name());
+  rollout->set_roll_back(cursor.Has("roll_back") && cursor.At("roll_back").Boolean());
+  if (rollout->roll_back()) {
+    if (cursor.Has("version") || cursor.Has("duration_ms")) {
+      cursor.At("roll_back").Refuse("false where a version or a duration is given");
+    }
+    return;
+  }
+  rollout->set_version(cursor.At("version").Text(kMaxServerVersionBytes));
+  if (rollout->version().empty()) cursor.At("version").Refuse("a text that is not empty");
+  rollout->set_duration_ms(cursor.At("duration_ms").Integer(1, kMaxRolloutDurationMs));
+}
+
 /// A change of the control instances is not part of the configuration, so an intent that
 /// has one must contain no other change.
 void ReadControlInstance(const JsonCursor& root, IntentContent* content) {
@@ -138,9 +165,8 @@
   if (!add && !root.Has("remove_control_instance")) return;
   const JsonCursor cursor =
       root.At(add ? "add_control_instance" : "remove_control_instance");
-  IntentContent rest = *content;
-  rest.clear_description();
-  if (rest.ByteSizeLong() > 0 || (add && root.Has("remove_control_instance"))) {
+  RefuseOtherChanges(cursor, *content);
+  if (add && root.Has("remove_control_instance")) {
     cursor.Refuse("no other change in the same intent");
   }
   ControlInstanceChange* change = content->mutable_control_instance();
@@ -191,7 +217,7 @@
   const JsonCursor root(source, &document);
   root.ExpectObject({"version", "description", "data_centres", "services", "routes",
                      "policy", "leave", "enter", "remove", "add_control_instance",
-                     "remove_control_instance"});
+                     "remove_control_instance", "rollout"});
   root.At("version").Integer(kIntentFormatVersion, kIntentFormatVersion);
 
   IntentContent content;
@@ -214,6 +240,7 @@
   ReadServers(root, &content);
   if (root.Has("remove")) ReadRemovals(root.At("remove"), &content);
   RefuseContradictions(root, content);
+  ReadRollout(root, &content);
   ReadControlInstance(root, &content);
   return content;
 }
--- a/src/libquetzal/configuration/plan.cc
+++ b/src/libquetzal/configuration/plan.cc
@@ -14,6 +14,8 @@
 #include "configuration/leaving_change.h"
 #include "configuration/named_list.h"
 #include "configuration/policy_change.h"
+#include "configuration/rollout_change.h"
+#include "configuration/rollout_list.h"
 #include "configuration/route_change.h"
 #include "configuration/service_change.h"
 
@@ -120,10 +122,16 @@
                                   &plan.changes);
   AddLeaving(base, content, &plan.changes);
   if (content.has_policy()) AddPolicy(base.policy(), content.policy(), &plan.changes);
+  if (content.has_rollout()) {
+    if (auto change = PlanRollout(base, content.rollout())) {
+      plan.changes.push_back(std::move(change));
+    }
+  }
 
   plan.result = base;
   for (const auto& change : plan.changes) change->Apply(&plan.result);
   RefuseUsedRemovals(plan.result, content);
+  RemoveOrphanedRollouts(&plan.result);
   try {
     CheckConfiguration(plan.result);
   } catch (const Error& error) {
--- a/src/libquetzal/control/intent_api.cc
+++ b/src/libquetzal/control/intent_api.cc
@@ -92,6 +92,7 @@
       {"GET", "/v1/history", &IntentApi::ShowHistory},
       {"GET", "/v1/configuration", &IntentApi::ShowConfiguration},
       {"GET", "/v1/explain", &IntentApi::Explain},
+      {"GET", "/v1/rollouts", &IntentApi::ShowRollouts},
       {"GET", "/v1/control-instances", &IntentApi::ShowControlInstances},
   };
   return *routes;
@@ -357,6 +358,14 @@
   call.reply(Respond(ResultCode::kOk, json));
 }
 
+void IntentApi::ShowRollouts(const Call& call, const std::string& /*id*/) {
+  ReadCurrent(call, [this, call] {
+    ReportJson json = JsonOfCode(ResultCode::kOk, "");
+    json["rollouts"] = JsonOfRollouts(*dependencies_.machine->configuration());
+    call.reply(Respond(ResultCode::kOk, json));
+  });
+}
+
 void IntentApi::ShowControlInstances(const Call& call, const std::string& /*id*/) {
   ReadCurrent(call, [this, call] {
     ReportJson json = JsonOfCode(ResultCode::kOk, "");
--- a/src/libquetzal/control/intent_api.h
+++ b/src/libquetzal/control/intent_api.h
@@ -69,6 +69,7 @@
   void ShowConfiguration(const Call& call, const std::string& id);
   void Explain(const Call& call, const std::string& id);
   void ExplainIntent(const Call& call, const std::string& id);
+  void ShowRollouts(const Call& call, const std::string& id);
   void ShowControlInstances(const Call& call, const std::string& id);
 
   void Propose(const Call& call, const ControlEntry& entry, const std::string& event,
--- a/src/libquetzal/control/intent_machine.cc
+++ b/src/libquetzal/control/intent_machine.cc
@@ -170,7 +170,8 @@
     ExpireClosedLocked();
     return result;
   }
-  if (order_number_ > 0) {
+  // Orders replace services and routes; rollouts remain with operators as well.
+  if (order_number_ > 0 && !record->content().has_rollout()) {
     CloseIntent(INTENT_NOT_RUN, ResultCode::kNotRun,
                 "Not run: this configuration is replaced as a whole by its operators.",
                 micros, record);
@@ -183,6 +184,15 @@
     CloseIntent(INTENT_NOT_RUN, ResultCode::kNotRun, error.what(), micros, record);
     return ResultFor(*record);
   }
+  if (record->content().has_rollout() && !StampRolloutPlan(at, micros, *record, &plan)) {
+    CloseIntent(INTENT_NOT_RUN, ResultCode::kPlanOutdated,
+                "Not run: the rollout changed after the plan was made. Declare it again "
+                "under a new id.",
+                micros, record);
+    ControlResult result = ResultFor(*record);
+    ExpireClosedLocked();
+    return result;
+  }
   CloseIntent(INTENT_CONFIRMED, ResultCode::kOk, "", micros, record);
   if (!plan.changes.empty()) {
     SetConfigurationLocked(at, std::move(plan.result));
--- a/src/libquetzal/control/intent_machine.h
+++ b/src/libquetzal/control/intent_machine.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "agreement/agreement.h"
+#include "configuration/plan.h"
 #include "control.pb.h"
 #include "control/intent_id.h"
 
@@ -93,6 +94,8 @@
   // Rollouts of services (intent_machine_rollout.cc).
   ControlResult StartRolloutOf(const Version& at, const ControlEntry& entry);
   ControlResult AdvanceRolloutOf(const Version& at, const ControlEntry& entry);
+  static bool StampRolloutPlan(const Version& at, std::uint64_t micros,
+                               const IntentRecord& record, Plan* plan);
   void SetRolloutLocked(const Version& at, std::uint64_t micros, const Rollout& rollout,
                         const std::string& step);
 
--- a/src/libquetzal/control/intent_machine_rollout.cc
+++ b/src/libquetzal/control/intent_machine_rollout.cc
@@ -1,4 +1,5 @@
 // The part of IntentMachine that applies rollouts of services.
+#include <algorithm>
 #include <utility>
 
 #include "base/concat.h"
@@ -69,6 +70,29 @@
   return MakeResult(ResultCode::kOk, "");
 }
 
+// Sets the log position and time of a rollout that the plan starts. Returns false when
+// the plan no longer has the steps that the operator saw: a rollout may have been started
+// by an order, or have ended, since then.
+bool IntentMachine::StampRolloutPlan(const Version& at, std::uint64_t micros,
+                                     const IntentRecord& record, Plan* plan) {
+  const std::vector<std::string> steps = plan->Describe();
+  if (!std::equal(steps.begin(), steps.end(), record.steps().begin(),
+                  record.steps().end())) {
+    return false;
+  }
+  const Rollout* planned =
+      FindRollout(plan->result, record.content().rollout().service());
+  if (plan->changes.empty() || planned == nullptr ||
+      planned->state() != ROLLOUT_RUNNING) {
+    return true;
+  }
+  Rollout rollout = *planned;
+  *rollout.mutable_started() = at;
+  rollout.set_started_micros(micros);
+  PutRollout(rollout, &plan->result);
+  return true;
+}
+
 void IntentMachine::SetRolloutLocked(const Version& at, std::uint64_t micros,
                                      const Rollout& rollout, const std::string& step) {
   Configuration next = *configuration_;
--- a/src/libquetzal/control/report_json.cc
+++ b/src/libquetzal/control/report_json.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <ctime>
 
+#include "configuration/rollout_list.h"
 #include "control/convergence_text.h"
 
 namespace quetzal {
@@ -135,6 +136,21 @@
   return list;
 }
 
+ReportJson JsonOfRollouts(const Configuration& configuration) {
+  ReportJson list = ReportJson::array();
+  for (const Rollout& rollout : configuration.rollouts()) {
+    list.push_back({{"service", rollout.service()},
+                    {"version", rollout.version()},
+                    {"state", RolloutStateText(rollout.state())},
+                    {"started", JsonOfVersion(rollout.started())},
+                    {"at", FormatMicros(rollout.started_micros())},
+                    {"duration_ms", rollout.duration_ms()},
+                    {"share_permille", rollout.max_share_permille()},
+                    {"reason", rollout.reason()}});
+  }
+  return list;
+}
+
 ReportJson JsonOfConfiguration(const Configuration& configuration) {
   google::protobuf::util::JsonPrintOptions options;
   options.preserve_proto_field_names = true;
--- a/src/libquetzal/control/report_json.h
+++ b/src/libquetzal/control/report_json.h
@@ -29,6 +29,8 @@
 /// Wall time, name and fields of each event, as in the log.
 ReportJson JsonOfEvents(const std::vector<TimedEvent>& events);
 ReportJson JsonOfHistory(const std::vector<HistoryItem>& items);
+/// The last rollout of each service.
+ReportJson JsonOfRollouts(const Configuration& configuration);
 ReportJson JsonOfConfiguration(const Configuration& configuration);
 /// The control instances with their votes, and how many more may fail.
 ReportJson JsonOfGroup(const ControlGroup& group);
--- a/src/libquetzal/ctl/ctl_session.cc
+++ b/src/libquetzal/ctl/ctl_session.cc
@@ -110,6 +110,10 @@
       {"explain", "SERVICE|ID", false,
        "Explain why requests go where they go, or what became of an intent.",
        &CtlSession::Explain},
+      {"rollouts", nullptr, false, "Show the last rollout of each service.",
+       &CtlSession::Rollouts},
+      {"roll-back", "SERVICE", true, "Declare that a rollout in progress is rolled back.",
+       &CtlSession::RollBack},
       {"control-instances", nullptr, false,
        "Show the control instances and how many of them may fail.",
        &CtlSession::ControlInstances},
@@ -203,6 +207,21 @@
   return DeclareLeaveOrEnter("enter", argument);
 }
 
+int CtlSession::Rollouts(const std::string& /*argument*/) {
+  return PrintAnswer(Ask("GET", "/v1/rollouts", ""), TextOfRollouts);
+}
+
+int CtlSession::RollBack(const std::string& argument) {
+  if (!IsLegalName(argument)) {
+    throw Error(ResultCode::kIntentMalformed,
+                Concat("'", argument, "' is not the name of a service."));
+  }
+  const Json intent = {{"version", kIntentFormatVersion},
+                       {"description", Concat("roll back ", argument)},
+                       {"rollout", {{"service", argument}, {"roll_back", true}}}};
+  return DeclareText(intent.dump());
+}
+
 int CtlSession::AddControl(const std::string& argument) {
   const std::size_t equals = argument.find('=');
   const std::string name = argument.substr(0, equals);
--- a/src/libquetzal/ctl/ctl_session.h
+++ b/src/libquetzal/ctl/ctl_session.h
@@ -70,6 +70,8 @@
   int Status(const std::string& argument);
   int Leave(const std::string& argument);
   int Enter(const std::string& argument);
+  int Rollouts(const std::string& argument);
+  int RollBack(const std::string& argument);
   int History(const std::string& argument);
   int Explain(const std::string& argument);
   int ControlInstances(const std::string& argument);
--- a/src/libquetzal/ctl/text_report.cc
+++ b/src/libquetzal/ctl/text_report.cc
@@ -122,6 +122,20 @@
   return text;
 }
 
+std::string TextOfRollouts(const Json& answer) {
+  const Json items = answer.value("rollouts", Json::array());
+  if (items.empty()) return "No rollout of any service was started.\n";
+  std::string text;
+  for (const Json& item : items) {
+    const std::string reason = Text(item, "reason");
+    text += Concat(Text(item, "service"), " to version ", Text(item, "version"), ": ",
+                   Text(item, "state"), ", started ", Text(item, "at"), " for ",
+                   item.value("duration_ms", 0) / 1000, " s", reason.empty() ? "" : "; ",
+                   reason, "\n");
+  }
+  return text;
+}
+
 std::string TextOfExplanation(const Json& answer) { return Lines(answer, "text", ""); }
 
 std::string TextOfRefusal(const Json& answer) {
--- a/src/libquetzal/ctl/text_report.h
+++ b/src/libquetzal/ctl/text_report.h
@@ -10,6 +10,7 @@
 std::string TextOfIntent(const nlohmann::ordered_json& answer);
 std::string TextOfStatus(const nlohmann::ordered_json& answer);
 std::string TextOfControlInstances(const nlohmann::ordered_json& answer);
+std::string TextOfRollouts(const nlohmann::ordered_json& answer);
 std::string TextOfHistory(const nlohmann::ordered_json& answer);
 std::string TextOfExplanation(const nlohmann::ordered_json& answer);
 
--- a/tests/configuration/intent_file_test.cc
+++ b/tests/configuration/intent_file_test.cc
@@ -32,9 +32,20 @@
       {R"({"version": 1, "a/b": 1})",
        "f.json: /a~1b: found an unknown field; allowed are version, description, "
        "data_centres, services, routes, policy, leave, enter, remove, "
-       "add_control_instance, remove_control_instance"},
+       "add_control_instance, remove_control_instance, rollout"},
       {R"({"version": 1, "add_control_instance": {"name": "d", "address": "host:1"}})",
        "f.json: /add_control_instance/address: found \"host:1\"; allowed is ip:port"},
+      {R"({"version": 1, "leave": ["a"], "rollout": {"service": "s"}})",
+       "f.json: /rollout: found an object; allowed is no other change in the same "
+       "intent"},
+      {R"({"version": 1, "rollout": {"service": "s", "version": "", "duration_ms": 5}})",
+       "f.json: /rollout/version: found \"\"; allowed is a text that is not empty"},
+      {R"({"version": 1, "rollout": {"service": "s", "version": "v2"}})",
+       "f.json: /rollout/duration_ms: found nothing; this field is required"},
+      {R"({"version": 1, "rollout": {"service": "s", "roll_back": true,
+          "version": "v2"}})",
+       "f.json: /rollout/roll_back: found true; allowed is false where a version or a "
+       "duration is given"},
       {R"({"version": 1, "leave": ["A b"]})",
        "f.json: /leave/0: found \"A b\"; allowed is a name of 1 to 63 characters of a-z, "
        "0-9, '-', '_' and '.', the first a letter or digit"},
--- a/tests/control/intent_machine_rollout_test.cc
+++ b/tests/control/intent_machine_rollout_test.cc
@@ -138,6 +138,57 @@
   EXPECT_EQ(Get("shop").version(), "") << "dropped";
 }
 
+// Guards against operators that cannot roll back where orders replace the configuration,
+// and against a plan that ends another rollout than the one it was made for.
+TEST_F(IntentMachineRolloutTest, AnIntentRollsBackTheRolloutThatItsPlanNames) {
+  const auto declare = [this](const std::string& id, const std::string& service) {
+    ControlEntry entry;
+    entry.mutable_declare()->set_id(id);
+    RolloutIntent* rollout =
+        entry.mutable_declare()->mutable_content()->mutable_rollout();
+    rollout->set_service(service);
+    rollout->set_roll_back(true);
+    return Apply(entry);
+  };
+  const auto confirm = [this](const std::string& id) {
+    ControlEntry entry;
+    entry.mutable_confirm()->set_id(id);
+    return Apply(entry);
+  };
+  EXPECT_EQ(declare("1-a", "desk"), ResultCode::kPlanRefused) << "none in progress";
+  EXPECT_EQ(Start("desk", "v2"), ResultCode::kOk);
+  EXPECT_EQ(declare("2-a", "desk"), ResultCode::kOk);
+  EXPECT_EQ(declare("3-a", "desk"), ResultCode::kOk);
+  EXPECT_EQ(confirm("2-a"), ResultCode::kOk);
+  EXPECT_EQ(Get("desk").state(), ROLLOUT_ROLLED_BACK);
+  EXPECT_EQ(published_.back(), index_);
+  EXPECT_EQ(declare("4-a", "desk"), ResultCode::kOk) << "fulfilled already";
+  EXPECT_EQ(Start("desk", "v3"), ResultCode::kOk);
+  EXPECT_EQ(confirm("4-a"), ResultCode::kPlanOutdated);
+  EXPECT_EQ(confirm("3-a"), ResultCode::kPlanOutdated);
+  EXPECT_EQ(Get("desk").state(), ROLLOUT_RUNNING);
+}
+
+TEST_F(IntentMachineRolloutTest, AnIntentStartsARolloutOnce) {
+  ControlEntry entry;
+  entry.mutable_declare()->set_id("1-a");
+  RolloutIntent* rollout = entry.mutable_declare()->mutable_content()->mutable_rollout();
+  rollout->set_service("desk");
+  rollout->set_version("v2");
+  rollout->set_duration_ms(60'000);
+  EXPECT_EQ(Apply(entry), ResultCode::kOk);
+  ControlEntry confirm;
+  confirm.set_wall_micros(99);
+  confirm.mutable_confirm()->set_id("1-a");
+  EXPECT_EQ(Apply(confirm), ResultCode::kOk);
+  EXPECT_EQ(Get("desk").started().index(), index_);
+  EXPECT_EQ(Get("desk").started_micros(), 99U);
+  EXPECT_EQ(Get("desk").max_share_permille(), 100U);
+  const Version started = Get("desk").started();
+  EXPECT_EQ(Apply(confirm), ResultCode::kOk) << "sent again";
+  EXPECT_EQ(Get("desk").started().index(), started.index());
+}
+
 TEST_F(IntentMachineRolloutTest, SnapshotsKeepRollouts) {
   EXPECT_EQ(Start("desk", "v2"), ResultCode::kOk);
   EXPECT_EQ(Advance("desk", Get("desk").started(), ROLLOUT_SHIFTING), ResultCode::kOk);
--- a/tests/ctl/ctl_golden_test.cc
+++ b/tests/ctl/ctl_golden_test.cc
@@ -211,6 +211,32 @@
   CompareWithGolden("leaving_server");
 }
 
+// A rollout is planned, shown and rolled back; a plan that the events overtook never
+// runs.
+TEST_F(CtlGoldenTest, RolloutOfAService) {
+  ReportFromAllNodes({});
+  const std::string start = R"({"version": 1, "rollout": {"service": "taller",
+      "version": "v2", "duration_ms": 60000}})";
+  on_sleep_ = [this] { ReportFromAllNodes(leader().published); };
+  EXPECT_EQ(Ctl({"declare", "meshes/arrieta.json"}, WithId("1-first")), kExitOk);
+  EXPECT_EQ(Ctl({"confirm", "1-first"}, WithWait()), kExitOk);
+  EXPECT_EQ(Ctl({"rollouts"}), kExitOk);
+  EXPECT_EQ(Ctl({"roll-back", "taller"}, WithId("2-none")), kExitRefused);
+  EXPECT_EQ(Ctl({"declare", "-"}, WithId("3-v2"), start), kExitOk);
+  EXPECT_EQ(Ctl({"confirm", "3-v2"}, WithWait()), kExitOk);
+  EXPECT_EQ(Ctl({"rollouts"}), kExitOk);
+  EXPECT_EQ(Ctl({"declare", "-"}, WithId("4-v3"),
+                R"({"version": 1, "rollout": {"service": "taller", "version": "v3",
+      "duration_ms": 60000}})"),
+            kExitRefused);
+  EXPECT_EQ(Ctl({"roll-back", "taller"}, WithId("5-back")), kExitOk);
+  EXPECT_EQ(Ctl({"roll-back", "taller"}, WithId("6-late")), kExitOk);
+  EXPECT_EQ(Ctl({"confirm", "5-back"}, WithWait()), kExitOk);
+  EXPECT_EQ(Ctl({"confirm", "6-late"}), kExitNotRun);
+  EXPECT_EQ(Ctl({"rollouts"}), kExitOk);
+  CompareWithGolden("rollout");
+}
+
 TEST_F(CtlGoldenTest, ProgressOfAnIntent) {
   ReportFromAllNodes({});
   EXPECT_EQ(Ctl({"declare", "meshes/arrieta.json"}, WithId("1-first")), kExitOk);
