Quotas: wiring into membership, distribution, calls and the node

Cause: the modules had no socket, configuration or caller. Change: the membership's socket carries quota datagrams, the distribution starts an exchange while a team has a quota, a call asks the limiter before its first attempt, the node lists teams and exports refusals.

--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -22,6 +22,7 @@
 
 class CallDialect;
 class KeyRecords;
+class TeamQuota;
 
 /// Stream path of requests between instances.
 inline constexpr char kCallStreamPath[] = "/call";
@@ -69,6 +70,7 @@
   const Clock* clock = nullptr;
   Random* random = nullptr;  ///< Exclusive to the CallPath.
   EventLog* events = nullptr;
+  TeamQuota* quotas = nullptr;  ///< Null: teams have no quotas.
 
   /// Called when the local backend server refused a connection; may be null.
   std::function<void()> on_backend_unreachable;
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -9,6 +9,7 @@
 #include "calls/ignoring_handler.h"
 #include "calls/local_stream.h"
 #include "calls/via_header.h"
+#include "quotas/team_quota.h"
 
 namespace quetzal {
 namespace {
@@ -90,6 +91,9 @@
     const bool starting = code == ResultCode::kNodeStarting;
     return Refuse({code, true, starting ? kRetryAfter : Duration::zero()});
   }
+  if (const auto wait = CheckQuota()) {
+    return Refuse({ResultCode::kQuotaExceeded, true, *wait});
+  }
   const auto timeout = std::chrono::milliseconds(route_->timeout_ms());
   requires_free_slot_ = route_->objective_ms() > 0;
   if (metadata_.remaining) {
@@ -169,6 +173,11 @@
   return ResultCode::kOk;
 }
 
+std::optional<Duration> CallerCall::CheckQuota() {
+  if (team_.empty() || context_->deps.quotas == nullptr) return std::nullopt;
+  return context_->deps.quotas->Admit(team_);
+}
+
 void CallerCall::StartDeadline(Duration timeout) {
   started_ = context_->Now();
   deadline_ = started_ + timeout;
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -50,6 +50,8 @@
   ResultCode FindRoute();
   ResultCode CheckVia();
   ResultCode CheckKey();
+  /// Null when the team's quota admits the request, otherwise the time until it may.
+  std::optional<Duration> CheckQuota();
   void StartDeadline(Duration timeout);
   /// Starts the first attempt once it is known that the request may be sent.
   void StartWhenJudged();
@@ -136,6 +138,7 @@
   std::unique_ptr<const Route> route_;
   std::uint64_t version_ = 0;  ///< Log index of the configuration of route_.
   std::string service_;
+  std::string team_;                     ///< Empty: none.
   std::optional<BackendTarget> target_;  ///< Of the active attempt.
   std::shared_ptr<Stream> attempt_;
   bool confirmed_ = false;                ///< The admitting node may run the attempt.
--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -20,6 +20,8 @@
 
 namespace quetzal {
 
+class TeamLimiter;
+
 /// Name and addresses of a node.
 struct NodeIdentity {
   std::string instance;
@@ -72,6 +74,7 @@
     const Clock* clock = nullptr;
     Random* random = nullptr;  ///< Used on the executor only.
     EventLog* events = nullptr;
+    TeamLimiter* team_limiter = nullptr;  ///< Null: quotas are not enforced.
 
     /// Called on the executor with observations that this node, or an earlier incarnation
     /// of it, published; the same ones may be repeated. May be null.
@@ -91,6 +94,7 @@
     std::string source;    ///< Address of the source; empty when there is none.
     std::size_t subscribers = 0;
     std::vector<std::string> cut_off_data_centres;
+    std::string quota_coordinator;  ///< Of this node; empty without quotas.
   };
 
   NodeDistribution(NodeIdentity identity, NodeDistributionSettings settings,
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -172,6 +172,8 @@
   if (stopped_.exchange(true)) return;
   timer_.reset();
   dependencies_.executor->Post([self = shared_from_this()] {
+    self->quota_timer_.reset();
+    self->quotas_.reset();
     if (self->membership_link_ != nullptr) self->membership_link_->Stop();
     if (self->link_ != nullptr) self->link_->Stop();
     if (self->fanout_ != nullptr) self->fanout_->CloseAll();
@@ -202,6 +204,8 @@
   TickRepair();
   TickAcks();
   TickLeaving();
+  // Members that died leave the count of nodes without a change of the table.
+  if (dependencies_.clock->Now() >= next_quota_members_) RefreshQuotaMembers();
   RefreshStatus();
 }
 
@@ -219,6 +223,7 @@
   RefreshCrashingRequests();
   RefreshTargets();
   RefreshSources();
+  RefreshQuotaMembers();
   std::vector<Member> members;
   for (const auto& [name, entry] : membership_->table().entries()) {
     members.push_back(entry.member);
@@ -438,6 +443,7 @@
                   now - started_at_ >= settings_.join_limit;
   status.quorum_backed = link_->quorum_backed();
   status.relay = relay_;
+  if (quotas_) status.quota_coordinator = quotas_->coordinator();
   status.cut_off = now - quorum_backed_at_ > settings_.cut_off_timeout;
   if (link_->open()) status.source = link_->address().ToString();
   status.subscribers = fanout_->sessions();
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -17,6 +17,7 @@
 #include "distribution/source_link.h"
 #include "membership/membership.h"
 #include "membership/membership_link.h"
+#include "quotas/quota_exchange.h"
 
 namespace quetzal {
 
@@ -57,6 +58,8 @@
   void RefreshTargets();
   void RefreshCrashingRequests();
   void EmitCrashingRequests(const CrashingRequests& latest);
+  void RefreshQuotas();
+  void RefreshQuotaMembers();
   bool WaitsForMembers() const;
   void RefreshSources();
   void RefreshStatus();
@@ -99,6 +102,9 @@
   std::shared_ptr<SourceLink> link_;
   std::unique_ptr<Fanout> fanout_;
   AckTable ack_table_;
+  std::unique_ptr<QuotaExchange> quotas_;  ///< Null while no team has a quota.
+  std::unique_ptr<Timer> quota_timer_;
+  SteadyTime next_quota_members_;
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> ack_timer_;
   std::map<std::string, MemberState> reported_states_;
--- a/src/libquetzal/distribution/node_distribution_core_source.cc
+++ b/src/libquetzal/distribution/node_distribution_core_source.cc
@@ -128,6 +128,7 @@
   Emit("configuration.applied", {{"version", ToText(applied)}});
   RecordOwnAck();
   behind_ = false;
+  RefreshQuotas();
 }
 
 void NodeDistribution::Core::Refuse(ResultCode code, const Version& version) {
--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -66,7 +66,7 @@
 
 void Membership::OnDatagram(const Endpoint& from, const std::string& bytes) {
   GossipDatagram datagram;
-  if (!datagram.ParseFromString(bytes)) return;
+  if (!datagram.ParseFromString(bytes) || datagram.kind() == GOSSIP_QUOTA) return;
   if (datagram.sender() == self_.instance() &&
       datagram.incarnation() == self_.incarnation()) {
     return;
--- a/src/libquetzal/membership/membership_link.cc
+++ b/src/libquetzal/membership/membership_link.cc
@@ -8,6 +8,12 @@
 constexpr Duration kExchangeTimeout = std::chrono::seconds(2);
 constexpr char kExchangeMethod[] = "/membership/exchange";
 
+/// Tells the kind without parsing the datagram: it is the first field that is written.
+bool IsQuotaDatagram(const std::string& bytes) {
+  constexpr char kKindTag = GossipDatagram::kKindFieldNumber << 3;
+  return bytes.size() >= 2 && bytes[0] == kKindTag && bytes[1] == GOSSIP_QUOTA;
+}
+
 }  // namespace
 
 Endpoint MembershipLink::Bind(const Endpoint& endpoint) {
@@ -17,12 +23,24 @@
         executor->Post([weak, from, bytes = std::move(bytes)] {
           auto self = weak.lock();
           if (self == nullptr || self->stopped_) return;
-          self->membership_->OnDatagram(from, bytes);
-          self->Run();
+          self->OnDatagram(from, bytes);
         });
       });
 }
 
+void MembershipLink::OnDatagram(const Endpoint& from, const std::string& bytes) {
+  if (!IsQuotaDatagram(bytes)) {
+    membership_->OnDatagram(from, bytes);
+    return Run();
+  }
+  GossipDatagram datagram;
+  if (quota_receiver_ && datagram.ParseFromString(bytes)) quota_receiver_(datagram);
+}
+
+void MembershipLink::Send(const Endpoint& to, std::string bytes) {
+  if (!stopped_) dependencies_.datagrams->Send(to, std::move(bytes));
+}
+
 void MembershipLink::Serve() {
   dependencies_.rpc_server->Serve(
       kExchangeMethod, [weak = weak_from_this(), executor = dependencies_.executor](
--- a/src/libquetzal/membership/membership_link.h
+++ b/src/libquetzal/membership/membership_link.h
@@ -1,8 +1,10 @@
 #ifndef QUETZAL_MEMBERSHIP_MEMBERSHIP_LINK_H_
 #define QUETZAL_MEMBERSHIP_MEMBERSHIP_LINK_H_
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "kernel/executor.h"
 #include "membership/membership.h"
@@ -31,6 +33,15 @@
   /// Starts to answer table exchanges.
   void Serve();
 
+  /// Gives datagrams about quotas to `receiver`, on the executor; the membership never
+  /// sees them. Without a receiver they are ignored.
+  void SetQuotaReceiver(std::function<void(const GossipDatagram&)> receiver) {
+    quota_receiver_ = std::move(receiver);
+  }
+
+  /// Sends a datagram that does not concern the membership.
+  void Send(const Endpoint& to, std::string bytes);
+
   /// Carries out the pending actions of the membership.
   void Run();
 
@@ -38,10 +49,12 @@
   void Stop() { stopped_ = true; }
 
  private:
+  void OnDatagram(const Endpoint& from, const std::string& bytes);
   void Exchange(const MembershipAction& action);
 
   Membership* membership_;
   Dependencies dependencies_;
+  std::function<void(const GossipDatagram&)> quota_receiver_;
   bool stopped_ = false;
 };
 
--- a/src/libquetzal/quotas/grant_parts.h
+++ b/src/libquetzal/quotas/grant_parts.h
@@ -11,8 +11,8 @@
 namespace quetzal {
 
 /// Splits grants into messages that fit into a datagram, and joins them again. A grant
-/// replaces all shares, so it counts only once all its parts have arrived: part n of grant
-/// g has the sequence g * kMaxParts + n, and only the last part has a validity.
+/// replaces all shares, so it counts only once all its parts have arrived: part n of
+/// grant g has the sequence g * kMaxParts + n, and only the last part has a validity.
 class GrantParts {
  public:
   static constexpr std::uint64_t kMaxParts = 64;
@@ -24,9 +24,9 @@
                                          const std::vector<TeamShare>& shares,
                                          std::uint32_t valid_ms);
 
-  /// Adds a part of a grant of `sender`; returns the whole grant with its last part. Parts
-  /// of grants that are older than the last whole one are ignored, as are those that
-  /// arrive out of order.
+  /// Adds a part of a grant of `sender`; returns the whole grant with its last part.
+  /// Parts of grants that are older than the last whole one are ignored, as are those
+  /// that arrive out of order.
   std::optional<QuotaGrant> Add(const std::string& sender, std::uint64_t incarnation,
                                 const QuotaMessage& message);
 
--- a/src/libquetzal/quotas/quota_allocator.cc
+++ b/src/libquetzal/quotas/quota_allocator.cc
@@ -10,20 +10,28 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/// What the window still allows may be used up within this time. Longer than the time from
-/// an admission until the grants take it into account, so that shares settle at the limit
-/// instead of swinging around it.
+/// What the window still allows may be used up within this time. Longer than the time
+/// from an admission until the grants take it into account, so that shares settle at the
+/// limit instead of swinging around it.
 constexpr double kHorizonSeconds = 0.6;
+/// A window that allows less than this part of the rate limits a team at any demand.
+constexpr double kFullRate = 0.5;
+/// Admissions younger than this are mostly unknown to a coordinator. Larger values refuse
+/// more below the rate: 0.35 s refused 5% of a team of 35 per second at 90% of its rate.
+constexpr double kUnseenSeconds = 0.2;
 /// Parts of the tolerance of 10% and 20 requests that are used up on purpose, so that the
 /// random arrivals of small teams are not refused.
-constexpr double kWindowFactor = 1.02;
-constexpr double kWindowSlack = 8;
+constexpr double kWindowFactor = 1.0;
+constexpr double kWindowSlack = 9;
 /// Of the quota's rate, for a limited team while its window has room left.
 constexpr double kMaxRate = 1.25;
 constexpr double kDemandSeconds = 0.3;  ///< Time constant of the demand average.
-/// Standard deviations by which demand must exceed what is allowed: few requests that come
-/// together do not show a high rate.
-constexpr double kDemandDeviations = 2;
+/// Time constant for which high demand is remembered, so that a team that asks in pulses
+/// is not unlimited at the start of each one.
+constexpr double kPeakSeconds = 2;
+/// Standard deviations by which demand must exceed what is allowed: few requests that
+/// come together do not show a high rate.
+constexpr double kDemandDeviations = 3;
 /// Part of a share that is divided evenly, so that nodes new to a team get some of it.
 constexpr double kEvenPart = 0.05;
 constexpr double kBurstSeconds = 0.25;
@@ -49,6 +57,8 @@
 /// sends grants; the longer one when some are missing.
 constexpr Duration kStartDelay = std::chrono::milliseconds(200);
 constexpr Duration kLongStartDelay = std::chrono::milliseconds(500);
+/// Time within which all nodes learn of a new limit.
+constexpr Duration kLimitSpread = std::chrono::seconds(2);
 constexpr Duration kRetention = std::chrono::seconds(60);
 
 double ToSeconds(Duration time) { return Seconds(time).count(); }
@@ -71,6 +81,7 @@
     const auto old = teams_.find(limit.team);
     Team team;
     if (old != teams_.end()) team = std::move(old->second);
+    if (team.limit.per_second <= 0) team.limited_since = clock_->Now();
     team.limit = limit;
     teams.emplace(limit.team, std::move(team));
   }
@@ -100,7 +111,10 @@
     const bool new_team = node.usage.count(usage.team()) == 0;
     Usage& entry = node.usage[usage.team()];
     if (new_team) entry.updated = now - kReportPeriod;
-    Update(usage, &entry, first, &team->second);
+    // When a limit begins, nodes report what they have admitted in the last window.
+    const bool begins = new_team && now - team->second.limited_since < kLimitSpread &&
+                        now - created_ >= kLimitSpread;
+    Update(usage, &entry, first || begins, &team->second);
   }
 }
 
@@ -111,8 +125,8 @@
     const double most = WindowLimit(team->limit);
     team->earlier.Spread(std::min<double>(static_cast<double>(usage.admitted()), most),
                          now);
-    known->per_second = static_cast<double>(usage.asked()) /
-                        static_cast<double>(kQuotaWindow.count());
+    known->per_second =
+        static_cast<double>(usage.asked()) / static_cast<double>(kQuotaWindow.count());
   } else {
     team->reported.Add(static_cast<double>(usage.admitted() - known->admitted), now);
     const double before = known->Demand(now);
@@ -170,6 +184,8 @@
 
 void QuotaAllocator::Allocate() {
   const SteadyTime now = clock_->Now();
+  peak_decay_ = std::exp(-ToSeconds(now - allocated_) / kPeakSeconds);
+  allocated_ = now;
   const Coverage coverage = Cover();
   if (coverage.own > 0 && !active_) began_ = now;
   active_ = coverage.own > 0;
@@ -234,28 +250,30 @@
     const double assumed = team->limit.per_second * unknown_seconds *
                            static_cast<double>(coverage.own) /
                            static_cast<double>(coverage.all);
-    team->admitted =
-        team->reported.Sum(now) + std::max(team->earlier.Sum(now), assumed);
+    team->admitted = team->reported.Sum(now) + std::max(team->earlier.Sum(now), assumed);
   }
   double admitted = team->admitted;
   double demand = team->demand;
   for (const auto& [name, coordinator] : coordinators_) {
     if (!Heard(coordinator)) continue;
     const auto it = coordinator.demands.find(team->limit.team);
-    if (it == coordinator.demands.end() ||
-        now - it->second.updated > kDemandTimeout) {
+    if (it == coordinator.demands.end() || now - it->second.updated > kDemandTimeout) {
       continue;
     }
     admitted += it->second.admitted;
     demand += it->second.per_second;
   }
   const double window = WindowLimit(team->limit) * kWindowFactor + kWindowSlack;
-  const double room = window - admitted - Reserve(coverage, *team, window);
+  // Admitted since the nodes last reported, or not yet heard of from other coordinators.
+  const double unseen =
+      kUnseenSeconds * (team->limited ? std::min(demand, team->rate) : demand);
+  const double room = window - admitted - unseen - Reserve(coverage, *team, window);
   const double allowed = std::max(0.0, room) / kHorizonSeconds;
   const double certain = demand - kDemandDeviations * std::sqrt(demand / kDemandSeconds);
   // A full window limits a team also while it asks for nothing: its next requests may all
   // come before the next report.
-  team->limited = certain > allowed || allowed < team->limit.per_second;
+  team->peak = std::max(certain, team->peak * peak_decay_);
+  team->limited = team->peak > allowed || allowed < kFullRate * team->limit.per_second;
   if (team->limited) {
     const double most = kMaxRate * team->limit.per_second *
                         static_cast<double>(coverage.heard) /
@@ -263,7 +281,8 @@
     const double part = demand > 0 ? team->demand / demand
                                    : static_cast<double>(coverage.own) /
                                          static_cast<double>(coverage.all);
-    team->per_second = std::min(allowed, most) * part;
+    team->rate = std::min(allowed, most);
+    team->per_second = team->rate * part;
     if (!team->was_limited || team->per_second < kNoticeable * team->granted_per_second) {
       grants_urgent_ = true;
     }
--- a/src/libquetzal/quotas/quota_allocator.h
+++ b/src/libquetzal/quotas/quota_allocator.h
@@ -16,10 +16,10 @@
 /// Divides the quotas among the nodes that report to this coordinator. Does no I/O; not
 /// thread-safe.
 ///
-/// Every coordinator computes the same for each team: what the window still allows, less a
-/// reserve for nodes that no coordinator has heard from, may be used within kHorizon. While
-/// the demand over all data centres is below that rate, the team is not limited. Otherwise
-/// a coordinator gets the part of the rate that is its part of the demand.
+/// Every coordinator computes the same for each team: what the window still allows, less
+/// a reserve for nodes that no coordinator has heard from, may be used within kHorizon.
+/// While the demand over all data centres is below that rate, the team is not limited.
+/// Otherwise a coordinator gets the part of the rate that is its part of the demand.
 ///
 /// Two coordinators of one data centre do not double anything: each one divides only the
 /// part that belongs to the nodes that report to it, and counts the others as reserved
@@ -46,11 +46,12 @@
   /// True while nodes report to this coordinator.
   bool active() const { return active_; }
 
-  /// True once the nodes and the other coordinators had time to report, so that grants may
-  /// be sent.
+  /// True once the nodes and the other coordinators had time to report, so that grants
+  /// may be sent.
   bool ready() const;
 
-  /// A share became so much smaller since MarkGranted() that nodes should learn it at once.
+  /// A share became so much smaller since MarkGranted() that nodes should learn it at
+  /// once.
   bool grants_urgent() const { return grants_urgent_; }
   void MarkGranted();
 
@@ -64,8 +65,8 @@
   std::vector<TeamShare> SharesFor(const std::string& node) const;
 
   /// Demand of the nodes that report here, for the other coordinators. Teams far below
-  /// their quota are included in one of four calls. `urgent_only`: only teams whose demand
-  /// grew much.
+  /// their quota are included in one of four calls. `urgent_only`: only teams whose
+  /// demand grew much.
   std::vector<TeamDemand> TakeDemands(bool urgent_only);
 
   /// Other coordinators heard from lately.
@@ -98,11 +99,14 @@
   };
   struct Team {
     TeamLimit limit;
-    UsageWindow reported;  ///< Admitted while this coordinator counted.
-    UsageWindow earlier;   ///< Admitted before that, times unknown.
-    double demand = 0;     ///< Of the nodes that report here.
+    UsageWindow reported;      ///< Admitted while this coordinator counted.
+    UsageWindow earlier;       ///< Admitted before that, times unknown.
+    SteadyTime limited_since;  ///< When its limit was first set.
+    double demand = 0;         ///< Of the nodes that report here.
     double admitted = 0;
+    double peak = 0;  ///< Of the demand of all nodes, decaying.
     bool limited = false;
+    double rate = 0;        ///< Of all nodes, when limited.
     double per_second = 0;  ///< Of the nodes that report here, when limited.
     bool was_limited = false;
     double granted_per_second = 0;
@@ -131,7 +135,9 @@
   SteadyTime began_;  ///< To hear from nodes, after none reported.
   bool active_ = false;
   std::size_t reporting_ = 0;  ///< Nodes heard from, as of the last Allocate().
-  bool most_heard_ = false;    ///< Likewise, most nodes over all coordinators.
+  SteadyTime allocated_;
+  double peak_decay_ = 0;    ///< Since the Allocate() before.
+  bool most_heard_ = false;  ///< Likewise, most nodes over all coordinators.
   std::map<std::string, Team> teams_;
   std::map<std::string, std::size_t> nodes_by_data_centre_;
   std::map<std::string, Node> nodes_;
--- a/src/libquetzal/quotas/quota_exchange.cc
+++ b/src/libquetzal/quotas/quota_exchange.cc
@@ -14,7 +14,8 @@
 /// Validity of a grant, from the report that it answers: 1 s after the grant's arrival at
 /// the usual delays.
 constexpr std::uint32_t kGrantValidMs = 1250;
-/// Age of a grant, from the report that it answers, that is reached only when one is lost.
+/// Age of a grant, from the report that it answers, that is reached only when one is
+/// lost.
 constexpr Duration kOverdue = std::chrono::milliseconds(750);
 /// A lost grant or two; the next coordinator can answer before the last grant expires.
 constexpr Duration kSilence = std::chrono::milliseconds(650);
@@ -33,8 +34,15 @@
 /// Number of nodes assumed until then: the first deployment has at most 92.
 constexpr std::size_t kNodesAtStart = 100;
 constexpr std::size_t kEntryBytes = 1000;
+/// Time until the first grant when quotas begin while the node runs.
+constexpr Duration kFirstGrantTime = std::chrono::milliseconds(1500);
 constexpr char kRankKey[] = "quota";
 
+std::pair<std::uint64_t, std::uint64_t> BaseOf(const TeamCount& count) {
+  return {count.asked - std::min(count.asked, count.asked_in_window),
+          count.admitted - std::min(count.admitted, count.admitted_in_window)};
+}
+
 }  // namespace
 
 QuotaExchange::QuotaExchange(QuotaIdentity self, TeamLimiter* limiter, const Clock* clock,
@@ -46,12 +54,28 @@
       allocator_(self_.data_centre, clock),
       grown_(clock->Now()),
       nonce_(self_.incarnation << 20) {
+  if (self_.knows_fleet) {
+    settled_ = true;
+    const SteadyTime until = clock->Now() + kFirstGrantTime;
+    limiter_->SetGrant({}, until, until);
+  }
   ApplyNodes();
 }
 
 void QuotaExchange::SetLimits(const TeamLimits& limits) {
   limiter_->SetLimits(limits);
   allocator_.SetLimits(limits);
+  std::map<std::string, double> rates;
+  for (const TeamLimit& limit : limits) rates[limit.team] = limit.per_second;
+  for (const TeamCount& count : limiter_->Counts()) {
+    // A team that gets a limit is reported with what it has used in the last window.
+    const auto before = rates_.find(count.team);
+    if (before != rates_.end() && before->second > 0) continue;
+    for (auto* target : {&current_, &preferred_, &previous_}) {
+      if (*target) (*target)->base[count.team] = BaseOf(count);
+    }
+  }
+  rates_ = std::move(rates);
 }
 
 void QuotaExchange::SetMembers(std::vector<QuotaMember> members, bool joined) {
@@ -110,8 +134,7 @@
   target.name = name;
   target.granted = target.counted = clock_->Now();
   for (const TeamCount& count : limiter_->Counts()) {
-    target.base[count.team] = {count.asked - count.asked_in_window,
-                               count.admitted - count.admitted_in_window};
+    target.base[count.team] = BaseOf(count);
   }
   return target;
 }
@@ -184,6 +207,8 @@
   messages.back().mutable_usage();
   std::size_t bytes = 0;
   for (const TeamCount& count : counts) {
+    const auto rate = rates_.find(count.team);
+    if (rate == rates_.end() || rate->second <= 0) continue;
     if (!MustList(*target, count)) continue;
     auto& base = target->base[count.team];
     // Counts of a team that was removed and added again begin at zero.
@@ -317,10 +342,9 @@
   const bool from_current = current_ && current_->name == datagram.sender();
   const bool from_previous = previous_ && previous_->name == datagram.sender();
   if (!from_preferred && !from_current && !from_previous) return;
-  const auto report =
-      std::find_if(sent_.begin(), sent_.end(), [&datagram](const SentReport& sent) {
-        return sent.nonce == datagram.nonce();
-      });
+  const auto report = std::find_if(
+      sent_.begin(), sent_.end(),
+      [&datagram](const SentReport& sent) { return sent.nonce == datagram.nonce(); });
   if (report == sent_.end()) return;
   const auto grant =
       grants_.Add(datagram.sender(), datagram.incarnation(), datagram.quota());
--- a/src/libquetzal/quotas/quota_exchange.h
+++ b/src/libquetzal/quotas/quota_exchange.h
@@ -30,11 +30,14 @@
   std::string instance;
   std::string data_centre;
   std::uint64_t incarnation = 0;
+  /// The node has run for some time and knows the fleet. Its teams are not limited until
+  /// the first grant can arrive.
+  bool knows_fleet = false;
 };
 
-/// Reports the usage of this node to a coordinator, applies the grants that come back, and
-/// is a coordinator itself for the nodes that report to it. Does no I/O: datagrams are
-/// given to a callback. Not thread-safe.
+/// Reports the usage of this node to a coordinator, applies the grants that come back,
+/// and is a coordinator itself for the nodes that report to it. Does no I/O: datagrams
+/// are given to a callback. Not thread-safe.
 ///
 /// A node chooses the first live member of its data centre by rendezvous hashing; when
 /// that one stays silent, the next one, until the first one answers again. A grant is
@@ -85,7 +88,8 @@
   void ChooseCoordinator();
   void Report();
   void ReportTo(Target* target, const std::vector<TeamCount>& counts);
-  /// Teams whose counts changed since the last two reports, so that a lost one is made up.
+  /// Teams whose counts changed since the last two reports, so that a lost one is made
+  /// up.
   bool MustList(const Target& target, const TeamCount& count) const;
   void Coordinate();
   void SendGrants();
@@ -114,6 +118,7 @@
   std::optional<Target> previous_;   ///< Was silent; may still answer.
   std::map<std::string, std::uint64_t> last_asked_;  ///< As of the last report.
   std::map<std::string, std::uint64_t> second_last_asked_;
+  std::map<std::string, double> rates_;  ///< Limits of the teams.
   std::deque<SentReport> sent_;
   std::map<std::string, LastMessage> last_;
   std::uint64_t sequence_ = 0;
--- a/src/libquetzal/quotas/team_limiter.cc
+++ b/src/libquetzal/quotas/team_limiter.cc
@@ -14,7 +14,7 @@
 constexpr Duration kFullWindowRetry = std::chrono::milliseconds(250);
 /// While a grant is overdue, a team may use this many times its usual rate at this node:
 /// its load may have jumped everywhere while the coordinator was lost.
-constexpr double kOverdueRate = 2;
+constexpr double kOverdueRate = 1.5;
 constexpr double kOverdueBurst = 3;
 /// Any 5 s overlap up to six of the seconds for which an allowance is drawn.
 constexpr double kSecondsPerWindow = 6;
@@ -82,12 +82,11 @@
   const auto second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch());
   if (second.count() != team->second) {
     team->second = second.count();
-    team->allowed =
-        std::floor(mean) + (random_.Unit() < mean - std::floor(mean) ? 1 : 0);
+    team->allowed = std::floor(mean) + (random_.Unit() < mean - std::floor(mean) ? 1 : 0);
   }
   // What was admitted under the last grant counts as well.
   const double part =
-      std::ceil(WindowLimit(team->limit) / static_cast<double>(nodes_));
+      std::max(1.0, WindowLimit(team->limit) / static_cast<double>(nodes_));
   if (team->admitted_window.Sum(now) + 1 > part) return kFullWindowRetry;
   if (team->allowed >= 1) {
     team->allowed -= 1;
--- a/src/libquetzal/quotas/team_limiter.h
+++ b/src/libquetzal/quotas/team_limiter.h
@@ -33,11 +33,11 @@
 /// while another one is locked.
 ///
 /// With a valid grant, a team with a share has a token bucket, and the others are bounded
-/// only by their whole quota; once the grant is older than usual, also by twice what they
-/// asked for before. Without a grant, each second allows a part of the quota that is the
-/// same at every node; where that is below one request, it is drawn by lot. Tokens are not
-/// saved up then, because the saved tokens of all nodes together could exceed the quota of
-/// a small team many times.
+/// only by their whole quota; once the grant is older than usual, also by a little more
+/// than what they used before. Without a grant, each second allows a part of the quota
+/// that is the same at every node; where that is below one request, it is drawn by lot.
+/// Tokens are not saved up then, because the saved tokens of all nodes together could
+/// exceed the quota of a small team many times.
 class TeamLimiter final : public TeamQuota {
  public:
   TeamLimiter(const Clock* clock, std::uint64_t seed) : clock_(clock), random_(seed) {}
@@ -76,7 +76,7 @@
     std::uint64_t asked_at_report = 0;
     std::optional<TokenBucket> share;
     std::optional<TokenBucket> overdue;  ///< While the grant is overdue.
-    std::int64_t second = -1;  ///< That `allowed` belongs to.
+    std::int64_t second = -1;            ///< That `allowed` belongs to.
     double allowed = 0;
   };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -98,7 +98,8 @@
       datagrams_(DatagramSocketRegistry::Instance().Create("udp", runtime_.get())),
       rpc_client_(streams_.get(), rpc_executor_.get(), hybrid_clock),
       rpc_server_(&router_, hybrid_clock),
-      channels_(streams_.get(), &router_, hybrid_clock) {
+      channels_(streams_.get(), &router_, hybrid_clock),
+      team_limiter_(clock, SeedFromSystem()) {
   runtime_->OnStopSignal([this] { RequestStop(); });
   // Flags and environment variables cannot change while the process runs.
   runtime_->OnReloadSignal([this] { events_->Emit({"settings.kept", {}}); });
@@ -156,6 +157,7 @@
   distribution_dependencies.clock = clock_;
   distribution_dependencies.random = &distribution_random_;
   distribution_dependencies.events = events_;
+  distribution_dependencies.team_limiter = &team_limiter_;
   distribution_dependencies.on_former_observations =
       [this](const ServerObservations& observations) {
         backend_monitor_->RecordFormerObservations(observations);
@@ -189,6 +191,7 @@
   calls.clock = clock_;
   calls.random = &call_random_;
   calls.events = events_;
+  calls.quotas = &team_limiter_;
   calls.on_backend_unreachable = [this] {
     node_executor_->Post([this] { backend_monitor_->MarkUnreachable(); });
   };
@@ -312,6 +315,7 @@
   const auto snapshot = distribution_->routing().snapshot();
   if (snapshot) report.crashing = snapshot->crashing;
   report.calls = calls_->counts();
+  report.teams = team_limiter_.Counts();
   report.key_records = key_holder_->record_count();
   report.key_bytes = key_holder_->record_bytes();
   report.peer_streams = streams_->open_streams();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,7 @@
 #include "node/backend_server_monitor.h"
 #include "node/node_admin.h"
 #include "node/server_interface.h"
+#include "quotas/team_limiter.h"
 
 namespace quetzal {
 
@@ -109,6 +110,7 @@
   StreamRpcServer rpc_server_;
   StreamMessageChannels channels_;
 
+  TeamLimiter team_limiter_;
   std::unique_ptr<NodeDistribution> distribution_;
   std::shared_ptr<KeyHolderService> key_holder_;
   std::unique_ptr<QuorumKeyRecords> keys_;
--- a/src/node/node_admin.cc
+++ b/src/node/node_admin.cc
@@ -108,6 +108,21 @@
   return {{"crashing_requests", list}};
 }
 
+Json QuotasJson(const NodeReport& report) {
+  Json list = Json::array();
+  for (const TeamCount& team : report.teams) {
+    list.push_back(
+        {{"team", team.team},
+         {"asked", team.asked},
+         {"admitted", team.admitted},
+         {"asked_in_window", team.asked_in_window},
+         {"admitted_in_window", team.admitted_in_window},
+         {"share_per_second",
+          team.share_per_second ? Json(*team.share_per_second) : Json(nullptr)}});
+  }
+  return {{"coordinator", report.distribution.quota_coordinator}, {"teams", list}};
+}
+
 AdminResponse Unblock(const std::string& hash, const NodeReport& report,
                       BackendServerMonitor* backend) {
   const auto* entry = report.crashing ? report.crashing->Find(hash) : nullptr;
@@ -150,6 +165,7 @@
       return Answer(200, CrashingRequestsJson(report()));
     }
     if (request.path == "/v1/status") return Answer(200, StatusJson(report()));
+    if (request.path == "/v1/quotas") return Answer(200, QuotasJson(report()));
     if (request.path == "/v1/members") return Answer(200, MembersJson(report().members));
     if (request.path == "/metrics") {
       return {200, metrics.content_type(), metrics.Format(NodeMetrics(report()))};
--- a/src/node/node_admin.h
+++ b/src/node/node_admin.h
@@ -11,6 +11,7 @@
 #include "distribution/node_distribution.h"
 #include "net/admin_server.h"
 #include "node/backend_server_monitor.h"
+#include "quotas/team_limiter.h"
 
 namespace quetzal {
 
@@ -25,6 +26,7 @@
   std::uint64_t crashes = 0;  ///< Of the backend server while requests ran on it.
   std::shared_ptr<const CrashingRequests> crashing;  ///< Null when none are known.
   CallCounts calls;
+  std::vector<TeamCount> teams;  ///< Of all teams with or without a quota, by name.
   std::size_t key_records = 0;
   std::size_t key_bytes = 0;
   std::size_t peer_streams = 0;
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -1,5 +1,7 @@
 #include "node/node_metrics.h"
 
+#include <algorithm>
+
 #include "node/node_admin.h"
 
 namespace quetzal {
@@ -13,12 +15,45 @@
   return {name, help, MetricKind::kGauge, static_cast<double>(value)};
 }
 
+/// Only the teams refused most often get metrics of their own, so that a configuration
+/// with thousands of teams does not create as many time series.
+constexpr std::size_t kTeamsInMetrics = 20;
+
+std::uint64_t Refused(const TeamCount& team) { return team.asked - team.admitted; }
+
+void AppendTeams(std::vector<TeamCount> teams, std::vector<Metric>* metrics) {
+  if (teams.empty()) return;
+  std::uint64_t refused = 0;
+  std::uint64_t limited = 0;
+  for (const TeamCount& team : teams) {
+    refused += Refused(team);
+    limited += team.share_per_second ? 1 : 0;
+  }
+  metrics->push_back(Counter("quetzal_quota_refusals_total",
+                             "Requests refused over the quota of their team.", refused));
+  metrics->push_back(
+      Gauge("quetzal_quota_limited_teams", "Teams with a share in the grant.", limited));
+  std::stable_sort(
+      teams.begin(), teams.end(),
+      [](const TeamCount& a, const TeamCount& b) { return Refused(a) > Refused(b); });
+  teams.erase(std::find_if(teams.begin(), teams.end(),
+                           [](const TeamCount& team) { return Refused(team) == 0; }),
+              teams.end());
+  teams.resize(std::min(teams.size(), kTeamsInMetrics));
+  for (const TeamCount& team : teams) {
+    metrics->push_back(Counter("quetzal_team_refusals_total",
+                               "Refusals of the 20 teams refused most often.",
+                               Refused(team)));
+    metrics->back().labels = {{"team", team.team}};
+  }
+}
+
 }  // namespace
 
 std::vector<Metric> NodeMetrics(const NodeReport& report) {
   const CallCounts& calls = report.calls;
   const NodeDistribution::Status& distribution = report.distribution;
-  return {
+  std::vector<Metric> metrics = {
       Counter("quetzal_calls_accepted_total", "Requests from callers.", calls.accepted),
       Counter("quetzal_calls_answered_total", "Requests answered completely.",
               calls.answered),
@@ -55,6 +90,8 @@
       Gauge("quetzal_http_streams", "Open requests of callers and to the backend server.",
             report.http_streams),
   };
+  AppendTeams(report.teams, &metrics);
+  return metrics;
 }
 
 }  // namespace quetzal
--- a/src/plugins/metrics_prometheus/prometheus_format.cc
+++ b/src/plugins/metrics_prometheus/prometheus_format.cc
@@ -10,19 +10,18 @@
 std::string PrometheusFormat::Format(const std::vector<Metric>& metrics) const {
   std::vector<prometheus::MetricFamily> families;
   for (const Metric& metric : metrics) {
-    prometheus::MetricFamily family;
-    family.name = metric.name;
-    family.help = metric.help;
-    prometheus::ClientMetric value;
-    if (metric.kind == MetricKind::kCounter) {
-      family.type = prometheus::MetricType::Counter;
-      value.counter.value = metric.value;
-    } else {
-      family.type = prometheus::MetricType::Gauge;
-      value.gauge.value = metric.value;
+    const bool counter = metric.kind == MetricKind::kCounter;
+    if (families.empty() || families.back().name != metric.name) {
+      families.emplace_back();
+      families.back().name = metric.name;
+      families.back().help = metric.help;
+      families.back().type =
+          counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
     }
-    family.metric.push_back(value);
-    families.push_back(std::move(family));
+    prometheus::ClientMetric value;
+    for (const auto& [name, text] : metric.labels) value.label.push_back({name, text});
+    (counter ? value.counter.value : value.gauge.value) = metric.value;
+    families.back().metric.push_back(std::move(value));
   }
   return prometheus::TextSerializer().Serialize(families);
 }
