--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -10,6 +10,7 @@
 #include "calls/local_stream.h"
 #include "calls/nested_call.h"
 #include "calls/via_header.h"
+#include "quotas/team_quota.h"
 
 namespace quetzal {
 namespace {
@@ -98,6 +99,9 @@
   if (code != ResultCode::kOk) {
     return Refuse({code, true, RetryAfter(code)});
   }
+  if (const auto wait = CheckQuota()) {
+    return Refuse({ResultCode::kQuotaExceeded, true, *wait});
+  }
   const auto timeout = std::chrono::milliseconds(route_->timeout_ms());
   requires_free_slot_ = route_->objective_ms() > 0;
   // A backend server passes on what is left of the run above a nested call: a short time
@@ -207,6 +211,11 @@
   return ResultCode::kOk;
 }
 
+std::optional<Duration> CallerCall::CheckQuota() {
+  if (team_.empty() || context_->deps.quotas == nullptr) return std::nullopt;
+  return context_->deps.quotas->Admit(team_);
+}
+
 void CallerCall::StartDeadline(Duration timeout) {
   started_ = context_->Now();
   deadline_ = started_ + timeout;
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -55,6 +55,8 @@
                              bool proved);
   ResultCode CheckVia();
   ResultCode CheckKey();
+  /// Null when the team's quota admits the request, otherwise the time until it may.
+  std::optional<Duration> CheckQuota();
   void StartDeadline(Duration timeout);
   /// Starts the first attempt once it is known that the request may be sent.
   void StartWhenJudged();
--- a/src/libquetzal/quotas/quota_allocator.h
+++ b/src/libquetzal/quotas/quota_allocator.h
@@ -99,11 +99,14 @@
   };
   struct Team {
     TeamLimit limit;
-    UsageWindow reported;  ///< Admitted while this coordinator counted.
-    UsageWindow earlier;   ///< Admitted before that, times unknown.
-    double demand = 0;     ///< Of the nodes that report here.
+    UsageWindow reported;      ///< Admitted while this coordinator counted.
+    UsageWindow earlier;       ///< Admitted before that, times unknown.
+    SteadyTime limited_since;  ///< When its limit was first set.
+    double demand = 0;         ///< Of the nodes that report here.
     double admitted = 0;
+    double peak = 0;  ///< Of the demand of all nodes, decaying.
     bool limited = false;
+    double rate = 0;        ///< Of all nodes, when limited.
     double per_second = 0;  ///< Of the nodes that report here, when limited.
     bool was_limited = false;
     double granted_per_second = 0;
@@ -132,7 +135,9 @@
   SteadyTime began_;  ///< To hear from nodes, after none reported.
   bool active_ = false;
   std::size_t reporting_ = 0;  ///< Nodes heard from, as of the last Allocate().
-  bool most_heard_ = false;    ///< Likewise, most nodes over all coordinators.
+  SteadyTime allocated_;
+  double peak_decay_ = 0;    ///< Since the Allocate() before.
+  bool most_heard_ = false;  ///< Likewise, most nodes over all coordinators.
   std::map<std::string, Team> teams_;
   std::map<std::string, std::size_t> nodes_by_data_centre_;
   std::map<std::string, Node> nodes_;
--- a/src/libquetzal/quotas/quota_exchange.h
+++ b/src/libquetzal/quotas/quota_exchange.h
@@ -30,6 +30,9 @@
   std::string instance;
   std::string data_centre;
   std::uint64_t incarnation = 0;
+  /// The node has run for some time and knows the fleet. Its teams are not limited until
+  /// the first grant can arrive.
+  bool knows_fleet = false;
 };
 
 /// Reports the usage of this node to a coordinator, applies the grants that come back,
@@ -115,6 +118,7 @@
   std::optional<Target> previous_;   ///< Was silent; may still answer.
   std::map<std::string, std::uint64_t> last_asked_;  ///< As of the last report.
   std::map<std::string, std::uint64_t> second_last_asked_;
+  std::map<std::string, double> rates_;  ///< Limits of the teams.
   std::deque<SentReport> sent_;
   std::map<std::string, LastMessage> last_;
   std::uint64_t sequence_ = 0;
