Admission: estimates follow the requests that run

Cause: the wait for a slot followed from the mean time of all requests, which short calls lower while the slots run long work; and a server that became five times slower was noticed only when its first slow request ended.

Change: the wait follows from the expected times of the running requests. When the median age of at least four of them exceeds 1.5 times their expected time, all times are scaled by that ratio, also in the load report that other nodes choose by.

--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -236,7 +236,7 @@
                                                             ? AttemptEnd::kAnswered
                                                             : AttemptEnd::kAbandoned);
   Apply(call->server, servers_[call->server].admission.Finish(
-                          kKinds[call->kind].name, service_time, clock_.Now()));
+                          call->id, kKinds[call->kind].name, service_time, clock_.Now()));
 }
 
 void OverloadModel::Refused(const CallPtr& call, ResultCode code, Duration retry_after) {
--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -30,6 +30,10 @@
                          request.objective.value_or(request.deadline));
 }
 
+Duration Scaled(Duration time, double factor) {
+  return factor == 1 ? time : std::chrono::duration_cast<Duration>(factor * time);
+}
+
 bool ShedBefore(const AdmissionRequest& a, const AdmissionRequest& b) {
   return ShedRank(a) > ShedRank(b);
 }
@@ -74,7 +78,7 @@
   const ResultCode refusal = RefusalByState();
   if (refusal != ResultCode::kOk) return {Refuse(request.id, refusal, now)};
   if (queue_.empty() && HasFreeSlot(now) && (!rate_limit_ || rate_limit_->Take(now))) {
-    ++outstanding_;
+    Admit(request, now);
     return {{request.id, ResultCode::kOk, {}}};
   }
   request.short_work = service_times_.IsShort(request.work);
@@ -101,9 +105,24 @@
   return decisions;
 }
 
+AdmissionControl::Decisions AdmissionControl::Finish(std::uint64_t id,
+                                                     const std::string& work,
+                                                     Duration service_time,
+                                                     SteadyTime now) {
+  running_.Remove(id);
+  return FreeSlot(work, service_time, now);
+}
+
 AdmissionControl::Decisions AdmissionControl::Finish(const std::string& work,
                                                      Duration service_time,
                                                      SteadyTime now) {
+  running_.RemoveOldest();
+  return FreeSlot(work, service_time, now);
+}
+
+AdmissionControl::Decisions AdmissionControl::FreeSlot(const std::string& work,
+                                                       Duration service_time,
+                                                       SteadyTime now) {
   if (outstanding_ > 0) --outstanding_;
   if (service_time > Duration::zero()) service_times_.Record(work, service_time);
   return AdmitDue(now);
@@ -124,7 +143,7 @@
   report.outstanding = outstanding_;
   report.queued = static_cast<std::uint32_t>(queue_.size());
   report.slots = RefusalByState() == ResultCode::kOk ? UsableSlots(now) : 0;
-  report.service_time = service_times_.mean();
+  report.service_time = MeanTime(now);
   return report;
 }
 
@@ -163,6 +182,19 @@
   return ResultCode::kOk;
 }
 
+Duration AdmissionControl::ExpectedTime(const std::string& work, SteadyTime now) const {
+  return Scaled(service_times_.Expected(work), running_.Slowdown(now));
+}
+
+Duration AdmissionControl::MeanTime(SteadyTime now) const {
+  return Scaled(service_times_.mean(), running_.Slowdown(now));
+}
+
+void AdmissionControl::Admit(const AdmissionRequest& request, SteadyTime now) {
+  ++outstanding_;
+  running_.Add(request.id, service_times_.Expected(request.work), now);
+}
+
 Duration AdmissionControl::EstimateWaitFor(const AdmissionRequest& request,
                                            SteadyTime now) const {
   Duration ahead{};
@@ -171,18 +203,22 @@
   for (const AdmissionRequest& other : queue_) {
     const bool other_late = IsLate(other, now);
     if (late == other_late ? ShedBefore(other, request) : other_late) continue;
-    ahead += service_times_.Expected(other.work);
+    ahead += ExpectedTime(other.work, now);
     ++requests_ahead;
   }
   return EstimateWait(ahead, requests_ahead, now);
 }
 
-/// A slot becomes free once per mean service time divided by the number of slots. The
-/// work of the requests ahead is shared among the slots in the same way.
+/// A slot becomes free once per mean time of the running requests divided by the slots.
+/// The work of the requests ahead is shared among the slots in the same way.
 Duration AdmissionControl::EstimateWait(Duration work_ahead, std::size_t requests_ahead,
                                         SteadyTime now) const {
   const std::uint32_t slots = std::max<std::uint32_t>(1, EffectiveSlots(now));
-  const Duration for_slot = (work_ahead + service_times_.mean()) / slots;
+  const Duration running = running_.mean_expected();
+  const Duration next = running > Duration::zero()
+                            ? Scaled(running, running_.Slowdown(now))
+                            : MeanTime(now);
+  const Duration for_slot = (work_ahead + next) / slots;
   if (!rate_limit_) return for_slot;
   return std::max(for_slot,
                   rate_limit_->WaitFor(static_cast<double>(requests_ahead) + 1, now));
@@ -191,13 +227,13 @@
 bool AdmissionControl::CanFinish(const AdmissionRequest& request, Duration wait,
                                  SteadyTime now) const {
   return request.deadline > now &&
-         request.deadline - now >= wait + service_times_.Expected(request.work);
+         request.deadline - now >= wait + ExpectedTime(request.work, now);
 }
 
 bool AdmissionControl::MeetsObjective(const AdmissionRequest& request, Duration wait,
                                       SteadyTime now) const {
   return !request.objective || request.nested ||
-         *request.objective - now >= wait + service_times_.Expected(request.work);
+         *request.objective - now >= wait + ExpectedTime(request.work, now);
 }
 
 bool AdmissionControl::HasQueuedInTime(SteadyTime now) const {
@@ -214,8 +250,7 @@
 
 Duration AdmissionControl::RetryAfter(SteadyTime now) const {
   Duration ahead{};
-  for (const AdmissionRequest& other : queue_)
-    ahead += service_times_.Expected(other.work);
+  for (const AdmissionRequest& other : queue_) ahead += ExpectedTime(other.work, now);
   return std::clamp(EstimateWait(ahead, queue_.size(), now), kMinRetryAfter,
                     kMaxRetryAfter);
 }
@@ -251,7 +286,7 @@
     const auto next = TakeNext(now, decisions);
     if (!next) return;
     if (rate_limit_) rate_limit_->Take(now);
-    ++outstanding_;
+    Admit(*next, now);
     decisions->push_back({next->id, ResultCode::kOk, {}});
   }
 }
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -10,6 +10,7 @@
 #include "base/result_code.h"
 #include "base/token_bucket.h"
 #include "calls/call_headers.h"
+#include "calls/running_requests.h"
 #include "calls/service_times.h"
 #include "membership.pb.h"
 
@@ -72,6 +73,10 @@
 
   /// Frees the slot of an admitted request. `service_time` is zero when the request was
   /// cancelled or failed, since its duration does not reflect the speed of the server.
+  Decisions Finish(std::uint64_t id, const std::string& work, Duration service_time,
+                   SteadyTime now);
+
+  /// The same for the request that has been running for the longest time.
   Decisions Finish(const std::string& work, Duration service_time, SteadyTime now);
   Decisions Finish(Duration service_time, SteadyTime now) {
     return Finish("", service_time, now);
@@ -101,6 +106,11 @@
   std::size_t QueueLimit() const;
   ResultCode RefusalByState() const;
 
+  /// Times of the backend server at its present speed.
+  Duration ExpectedTime(const std::string& work, SteadyTime now) const;
+  Duration MeanTime(SteadyTime now) const;
+  void Admit(const AdmissionRequest& request, SteadyTime now);
+  Decisions FreeSlot(const std::string& work, Duration service_time, SteadyTime now);
   /// Expected wait of `request` behind the queued requests that precede it.
   Duration EstimateWaitFor(const AdmissionRequest& request, SteadyTime now) const;
   Duration EstimateWait(Duration work_ahead, std::size_t requests_ahead,
@@ -133,6 +143,7 @@
   bool stopped_ = false;
   std::uint32_t outstanding_ = 0;
   ServiceTimes service_times_;
+  RunningRequests running_;
   Queue queue_;  ///< By rank; the first in the order of service is last.
 };
 
--- a/src/libquetzal/calls/backend_admission.cc
+++ b/src/libquetzal/calls/backend_admission.cc
@@ -39,8 +39,9 @@
   return id;
 }
 
-void BackendAdmission::Finish(const std::string& work, Duration service_time) {
-  Apply([&](SteadyTime now) { return control_.Finish(work, service_time, now); });
+void BackendAdmission::Finish(std::uint64_t id, const std::string& work,
+                              Duration service_time) {
+  Apply([&](SteadyTime now) { return control_.Finish(id, work, service_time, now); });
 }
 
 void BackendAdmission::StartTimer() {
--- a/src/libquetzal/calls/backend_admission.h
+++ b/src/libquetzal/calls/backend_admission.h
@@ -36,7 +36,7 @@
   std::uint64_t Offer(AdmissionRequest request, DecisionCallback on_decision);
 
   /// Frees the slot of an admitted request; see AdmissionControl::Finish.
-  void Finish(const std::string& work, Duration service_time);
+  void Finish(std::uint64_t id, const std::string& work, Duration service_time);
 
   /// True when the request was still queued; `on_decision` is then never called.
   bool Cancel(std::uint64_t id);
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -451,7 +451,7 @@
 void BackendCall::ReleaseSlot(bool answered) {
   if (!holds_slot_) return;
   holds_slot_ = false;
-  context_->admission->Finish(head_.route,
+  context_->admission->Finish(admission_id_, head_.route,
                               answered ? context_->Now() - sent_at_ : Duration::zero());
 }
 
