Admission: teams share a full server fairly

Cause: at equal priority a team that sends many times its usual load filled the slots and the queue of a server and crowded out the others.

Change: a queued request of a team that already has more than its share of the slots comes after those of the same priority that are within theirs, and is shed before them. Shares are in proportion to the teams' quotas, among the teams that have requests running or queued. Records are kept for these teams only. Requests without a team are ordered as before.

--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -21,12 +21,12 @@
 constexpr double kMinRate = 0.5;
 
 /// A larger rank is shed earlier: new requests before nested calls, then low priority
-/// first, then long work, which holds up more others, then idempotent requests before
-/// others, then the request with the latest objective (or else deadline), since its
-/// caller can retry later.
+/// first, then what exceeds its team's share, then long work, which holds up more others,
+/// then idempotent requests before others, then the request with the latest objective (or
+/// else deadline), since its caller can retry later.
 auto ShedRank(const AdmissionRequest& request) {
-  return std::make_tuple(!request.nested, request.priority, !request.short_work,
-                         request.idempotent,
+  return std::make_tuple(!request.nested, request.priority, request.team_excess,
+                         !request.short_work, request.idempotent,
                          request.objective.value_or(request.deadline));
 }
 
@@ -82,6 +82,7 @@
     return {{request.id, ResultCode::kOk, {}}};
   }
   request.short_work = service_times_.IsShort(request.work);
+  if (!request.team.empty()) RankByTeamWith(&request, now);
   const Duration wait = EstimateWaitFor(request, now);
   // The expected wait is zero until the first service time has been measured.
   if (request.max_wait && wait >= *request.max_wait) {
@@ -109,14 +110,14 @@
                                                      const std::string& work,
                                                      Duration service_time,
                                                      SteadyTime now) {
-  running_.Remove(id);
+  team_shares_.End(running_.Remove(id));
   return FreeSlot(work, service_time, now);
 }
 
 AdmissionControl::Decisions AdmissionControl::Finish(const std::string& work,
                                                      Duration service_time,
                                                      SteadyTime now) {
-  running_.RemoveOldest();
+  team_shares_.End(running_.RemoveOldest());
   return FreeSlot(work, service_time, now);
 }
 
@@ -192,7 +193,8 @@
 
 void AdmissionControl::Admit(const AdmissionRequest& request, SteadyTime now) {
   ++outstanding_;
-  running_.Add(request.id, service_times_.Expected(request.work), now);
+  running_.Add(request.id, service_times_.Expected(request.work), now, request.team);
+  team_shares_.Start(request.team, request.team_weight);
 }
 
 Duration AdmissionControl::EstimateWaitFor(const AdmissionRequest& request,
@@ -267,6 +269,35 @@
   queue_.insert(it, request);
 }
 
+void AdmissionControl::RankByTeam(SteadyTime now) {
+  const bool has_teams = std::any_of(queue_.begin(), queue_.end(),
+                                     [](const auto& r) { return !r.team.empty(); });
+  if (!has_teams) return;
+  team_shares_.BeginRanking(EffectiveSlots(now));
+  for (AdmissionRequest& request : queue_) {
+    request.team_excess = 0;
+    team_shares_.AddQueued(request.team, request.team_weight);
+  }
+  // First the order within each team, then the order of all.
+  std::stable_sort(queue_.begin(), queue_.end(), ShedBefore);
+  std::for_each(queue_.rbegin(), queue_.rend(), [this](AdmissionRequest& request) {
+    request.team_excess = team_shares_.NextExcess(request.team);
+  });
+  team_shares_.EndRanking();
+  std::stable_sort(queue_.begin(), queue_.end(), ShedBefore);
+}
+
+/// Finds the excess of a request that is not queued yet.
+void AdmissionControl::RankByTeamWith(AdmissionRequest* request, SteadyTime now) {
+  Enqueue(*request);
+  RankByTeam(now);
+  const auto it =
+      std::find_if(queue_.begin(), queue_.end(),
+                   [&](const AdmissionRequest& r) { return r.id == request->id; });
+  request->team_excess = it->team_excess;
+  queue_.erase(it);
+}
+
 /// Late requests give way to one in time, whatever their rank.
 AdmissionControl::Queue::iterator AdmissionControl::FindVictim(
     const AdmissionRequest& request, SteadyTime now) {
@@ -283,6 +314,7 @@
 void AdmissionControl::AdmitQueued(SteadyTime now, Decisions* decisions) {
   while (!queue_.empty() && HasFreeSlot(now)) {
     if (rate_limit_ && rate_limit_->WaitFor(1, now) > Duration::zero()) return;
+    RankByTeam(now);
     const auto next = TakeNext(now, decisions);
     if (!next) return;
     if (rate_limit_) rate_limit_->Take(now);
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -12,6 +12,7 @@
 #include "calls/call_headers.h"
 #include "calls/running_requests.h"
 #include "calls/service_times.h"
+#include "calls/team_shares.h"
 #include "membership.pb.h"
 
 namespace quetzal {
@@ -38,6 +39,9 @@
   /// Made by a backend server while it runs another request, whose work is lost without
   /// the answer: goes before all other requests and has no objective but its deadline.
   bool nested = false;
+  std::string team;        ///< Of the caller; empty: not stated.
+  double team_weight = 1;  ///< The team's share of the slots follows from it.
+  double team_excess = 0;  ///< Set by AdmissionControl; see TeamShares::NextExcess.
 };
 
 /// Decision on one request: kOk admits it, any other code refuses it (not run).
@@ -110,6 +114,9 @@
   Duration ExpectedTime(const std::string& work, SteadyTime now) const;
   Duration MeanTime(SteadyTime now) const;
   void Admit(const AdmissionRequest& request, SteadyTime now);
+  /// Sorts the queue anew after the teams' shares changed.
+  void RankByTeam(SteadyTime now);
+  void RankByTeamWith(AdmissionRequest* request, SteadyTime now);
   Decisions FreeSlot(const std::string& work, Duration service_time, SteadyTime now);
   /// Expected wait of `request` behind the queued requests that precede it.
   Duration EstimateWaitFor(const AdmissionRequest& request, SteadyTime now) const;
@@ -144,6 +151,7 @@
   std::uint32_t outstanding_ = 0;
   ServiceTimes service_times_;
   RunningRequests running_;
+  TeamShares team_shares_;
   Queue queue_;  ///< By rank; the first in the order of service is last.
 };
 
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -108,6 +108,11 @@
   request.max_wait = head_.max_wait;
   request.work = head_.route;
   request.nested = head_.nested;
+  request.team = head_.team;
+  if (!head_.team.empty()) {
+    const auto matcher = context_->matcher();
+    if (matcher) request.team_weight = matcher->TeamWeight(head_.team);
+  }
   admission_id_ = context_->admission->Offer(
       request, [call = shared_from_this()](const AdmissionDecision& decision) {
         call->queue_.Run([call, decision] { call->OnDecision(decision); });
--- a/src/libquetzal/calls/route_index.cc
+++ b/src/libquetzal/calls/route_index.cc
@@ -60,6 +60,13 @@
   for (const Service& service : configuration_->services()) {
     services_[service.name()] = &service;
   }
+  double quota_sum = 0;
+  for (const Team& team : configuration_->teams()) {
+    if (team.requests_per_second() <= 0) continue;
+    quotas_[team.name()] = team.requests_per_second();
+    quota_sum += team.requests_per_second();
+  }
+  if (!quotas_.empty()) mean_quota_ = quota_sum / static_cast<double>(quotas_.size());
 }
 
 bool RouteIndex::IsBefore(const Entry& a, const Entry& b) {
@@ -84,6 +91,11 @@
   return nullptr;
 }
 
+double RouteIndex::TeamWeight(std::string_view team) const {
+  const auto it = quotas_.find(team);
+  return it == quotas_.end() ? mean_quota_ : it->second;
+}
+
 const Service* RouteIndex::FindService(std::string_view name) const {
   const auto it = services_.find(name);
   return it == services_.end() ? nullptr : it->second;
--- a/src/libquetzal/calls/route_index.h
+++ b/src/libquetzal/calls/route_index.h
@@ -23,6 +23,10 @@
   /// Null when the configuration has no such service.
   const Service* FindService(std::string_view name) const;
 
+  /// The team's share of a server that is full, relative to other teams: its quota, or
+  /// the mean quota for a team without one; 1 when there are no quotas.
+  double TeamWeight(std::string_view team) const;
+
   const std::shared_ptr<const Configuration>& configuration() const {
     return configuration_;
   }
@@ -38,6 +42,8 @@
   std::vector<Entry> entries_;        ///< By prefix, more specific routes first.
   std::vector<std::size_t> lengths_;  ///< Distinct prefix lengths, longest first.
   std::unordered_map<std::string_view, const Service*> services_;
+  std::unordered_map<std::string_view, double> quotas_;  ///< Of the teams that have one.
+  double mean_quota_ = 1;
 };
 
 }  // namespace quetzal
--- a/src/libquetzal/calls/route_matcher.h
+++ b/src/libquetzal/calls/route_matcher.h
@@ -41,6 +41,8 @@
     return index_->FindService(name);
   }
 
+  double TeamWeight(std::string_view team) const { return index_->TeamWeight(team); }
+
   const RoutingSnapshot& snapshot() const { return *snapshot_; }
 
  private:
--- a/src/libquetzal/calls/running_requests.cc
+++ b/src/libquetzal/calls/running_requests.cc
@@ -1,6 +1,7 @@
 #include "calls/running_requests.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace quetzal {
@@ -18,28 +19,31 @@
 
 }  // namespace
 
-void RunningRequests::Add(std::uint64_t id, Duration expected, SteadyTime now) {
-  if (!running_.emplace(id, Running{expected, now}).second) return;
+void RunningRequests::Add(std::uint64_t id, Duration expected, SteadyTime now,
+                          std::string team) {
+  if (!running_.emplace(id, Running{expected, now, std::move(team)}).second) return;
   if (expected <= Duration::zero()) return;
   ++known_;
   expected_sum_ += expected;
 }
 
-void RunningRequests::Remove(std::uint64_t id) {
+std::string RunningRequests::Remove(std::uint64_t id) {
   const auto it = running_.find(id);
-  if (it == running_.end()) return;
-  const Running running = it->second;
+  if (it == running_.end()) return {};
+  Running running = std::move(it->second);
   running_.erase(it);
-  if (running.expected <= Duration::zero()) return;
-  --known_;
-  expected_sum_ -= running.expected;
+  if (running.expected > Duration::zero()) {
+    --known_;
+    expected_sum_ -= running.expected;
+  }
+  return std::move(running.team);
 }
 
-void RunningRequests::RemoveOldest() {
+std::string RunningRequests::RemoveOldest() {
   const auto oldest = std::min_element(
       running_.begin(), running_.end(),
       [](const auto& a, const auto& b) { return a.second.since < b.second.since; });
-  if (oldest != running_.end()) Remove(oldest->first);
+  return oldest == running_.end() ? std::string() : Remove(oldest->first);
 }
 
 Duration RunningRequests::mean_expected() const {
--- a/src/libquetzal/calls/running_requests.h
+++ b/src/libquetzal/calls/running_requests.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 
 #include "base/clock.h"
@@ -14,11 +15,13 @@
 class RunningRequests {
  public:
   /// `expected` is the time that the request should take; zero: not known.
-  void Add(std::uint64_t id, Duration expected, SteadyTime now);
-  void Remove(std::uint64_t id);
+  void Add(std::uint64_t id, Duration expected, SteadyTime now, std::string team = {});
+
+  /// Returns the team of the removed request; empty when it has none or does not run.
+  std::string Remove(std::uint64_t id);
 
   /// Removes the request that has been running for the longest time.
-  void RemoveOldest();
+  std::string RemoveOldest();
 
   /// Mean of the expected times; zero when none is known.
   Duration mean_expected() const;
@@ -31,6 +34,7 @@
   struct Running {
     Duration expected{};
     SteadyTime since;
+    std::string team;
   };
 
   std::unordered_map<std::uint64_t, Running> running_;
