--- a/src/libquetzal/calls/admission_control.cc
+++ b/src/libquetzal/calls/admission_control.cc
@@ -21,15 +21,19 @@
 constexpr double kMinRate = 0.5;
 
 /// A larger rank is shed earlier: new requests before nested calls, then low priority
-/// first, then long work, which holds up more others, then idempotent requests before
-/// others, then the request with the latest objective (or else deadline), since its
-/// caller can retry later.
+/// first, then what exceeds its team's share, then long work, which holds up more others,
+/// then idempotent requests before others, then the request with the latest objective (or
+/// else deadline), since its caller can retry later.
 auto ShedRank(const AdmissionRequest& request) {
-  return std::make_tuple(!request.nested, request.priority, !request.short_work,
-                         request.idempotent,
+  return std::make_tuple(!request.nested, request.priority, request.team_excess,
+                         !request.short_work, request.idempotent,
                          request.objective.value_or(request.deadline));
 }
 
+Duration Scaled(Duration time, double factor) {
+  return factor == 1 ? time : std::chrono::duration_cast<Duration>(factor * time);
+}
+
 bool ShedBefore(const AdmissionRequest& a, const AdmissionRequest& b) {
   return ShedRank(a) > ShedRank(b);
 }
@@ -74,10 +78,11 @@
   const ResultCode refusal = RefusalByState();
   if (refusal != ResultCode::kOk) return {Refuse(request.id, refusal, now)};
   if (queue_.empty() && HasFreeSlot(now) && (!rate_limit_ || rate_limit_->Take(now))) {
-    ++outstanding_;
+    Admit(request, now);
     return {{request.id, ResultCode::kOk, {}}};
   }
   request.short_work = service_times_.IsShort(request.work);
+  if (!request.team.empty()) RankByTeamWith(&request, now);
   const Duration wait = EstimateWaitFor(request, now);
   // The expected wait is zero until the first service time has been measured.
   if (request.max_wait && wait >= *request.max_wait) {
@@ -101,9 +106,24 @@
   return decisions;
 }
 
+AdmissionControl::Decisions AdmissionControl::Finish(std::uint64_t id,
+                                                     const std::string& work,
+                                                     Duration service_time,
+                                                     SteadyTime now) {
+  team_shares_.End(running_.Remove(id));
+  return FreeSlot(work, service_time, now);
+}
+
 AdmissionControl::Decisions AdmissionControl::Finish(const std::string& work,
                                                      Duration service_time,
                                                      SteadyTime now) {
+  team_shares_.End(running_.RemoveOldest());
+  return FreeSlot(work, service_time, now);
+}
+
+AdmissionControl::Decisions AdmissionControl::FreeSlot(const std::string& work,
+                                                       Duration service_time,
+                                                       SteadyTime now) {
   if (outstanding_ > 0) --outstanding_;
   if (service_time > Duration::zero()) service_times_.Record(work, service_time);
   return AdmitDue(now);
@@ -124,7 +144,7 @@
   report.outstanding = outstanding_;
   report.queued = static_cast<std::uint32_t>(queue_.size());
   report.slots = RefusalByState() == ResultCode::kOk ? UsableSlots(now) : 0;
-  report.service_time = service_times_.mean();
+  report.service_time = MeanTime(now);
   return report;
 }
 
@@ -163,6 +183,20 @@
   return ResultCode::kOk;
 }
 
+Duration AdmissionControl::ExpectedTime(const std::string& work, SteadyTime now) const {
+  return Scaled(service_times_.Expected(work), running_.Slowdown(now));
+}
+
+Duration AdmissionControl::MeanTime(SteadyTime now) const {
+  return Scaled(service_times_.mean(), running_.Slowdown(now));
+}
+
+void AdmissionControl::Admit(const AdmissionRequest& request, SteadyTime now) {
+  ++outstanding_;
+  running_.Add(request.id, service_times_.Expected(request.work), now, request.team);
+  team_shares_.Start(request.team, request.team_weight);
+}
+
 Duration AdmissionControl::EstimateWaitFor(const AdmissionRequest& request,
                                            SteadyTime now) const {
   Duration ahead{};
@@ -171,18 +205,22 @@
   for (const AdmissionRequest& other : queue_) {
     const bool other_late = IsLate(other, now);
     if (late == other_late ? ShedBefore(other, request) : other_late) continue;
-    ahead += service_times_.Expected(other.work);
+    ahead += ExpectedTime(other.work, now);
     ++requests_ahead;
   }
   return EstimateWait(ahead, requests_ahead, now);
 }
 
-/// A slot becomes free once per mean service time divided by the number of slots. The
-/// work of the requests ahead is shared among the slots in the same way.
+/// A slot becomes free once per mean time of the running requests divided by the slots.
+/// The work of the requests ahead is shared among the slots in the same way.
 Duration AdmissionControl::EstimateWait(Duration work_ahead, std::size_t requests_ahead,
                                         SteadyTime now) const {
   const std::uint32_t slots = std::max<std::uint32_t>(1, EffectiveSlots(now));
-  const Duration for_slot = (work_ahead + service_times_.mean()) / slots;
+  const Duration running = running_.mean_expected();
+  const Duration next = running > Duration::zero()
+                            ? Scaled(running, running_.Slowdown(now))
+                            : MeanTime(now);
+  const Duration for_slot = (work_ahead + next) / slots;
   if (!rate_limit_) return for_slot;
   return std::max(for_slot,
                   rate_limit_->WaitFor(static_cast<double>(requests_ahead) + 1, now));
@@ -191,13 +229,13 @@
 bool AdmissionControl::CanFinish(const AdmissionRequest& request, Duration wait,
                                  SteadyTime now) const {
   return request.deadline > now &&
-         request.deadline - now >= wait + service_times_.Expected(request.work);
+         request.deadline - now >= wait + ExpectedTime(request.work, now);
 }
 
 bool AdmissionControl::MeetsObjective(const AdmissionRequest& request, Duration wait,
                                       SteadyTime now) const {
   return !request.objective || request.nested ||
-         *request.objective - now >= wait + service_times_.Expected(request.work);
+         *request.objective - now >= wait + ExpectedTime(request.work, now);
 }
 
 bool AdmissionControl::HasQueuedInTime(SteadyTime now) const {
@@ -214,8 +252,7 @@
 
 Duration AdmissionControl::RetryAfter(SteadyTime now) const {
   Duration ahead{};
-  for (const AdmissionRequest& other : queue_)
-    ahead += service_times_.Expected(other.work);
+  for (const AdmissionRequest& other : queue_) ahead += ExpectedTime(other.work, now);
   return std::clamp(EstimateWait(ahead, queue_.size(), now), kMinRetryAfter,
                     kMaxRetryAfter);
 }
@@ -232,6 +269,35 @@
   queue_.insert(it, request);
 }
 
+void AdmissionControl::RankByTeam(SteadyTime now) {
+  const bool has_teams = std::any_of(queue_.begin(), queue_.end(),
+                                     [](const auto& r) { return !r.team.empty(); });
+  if (!has_teams) return;
+  team_shares_.BeginRanking(EffectiveSlots(now));
+  for (AdmissionRequest& request : queue_) {
+    request.team_excess = 0;
+    team_shares_.AddQueued(request.team, request.team_weight);
+  }
+  // First the order within each team, then the order of all.
+  std::stable_sort(queue_.begin(), queue_.end(), ShedBefore);
+  std::for_each(queue_.rbegin(), queue_.rend(), [this](AdmissionRequest& request) {
+    request.team_excess = team_shares_.NextExcess(request.team);
+  });
+  team_shares_.EndRanking();
+  std::stable_sort(queue_.begin(), queue_.end(), ShedBefore);
+}
+
+/// Finds the excess of a request that is not queued yet.
+void AdmissionControl::RankByTeamWith(AdmissionRequest* request, SteadyTime now) {
+  Enqueue(*request);
+  RankByTeam(now);
+  const auto it =
+      std::find_if(queue_.begin(), queue_.end(),
+                   [&](const AdmissionRequest& r) { return r.id == request->id; });
+  request->team_excess = it->team_excess;
+  queue_.erase(it);
+}
+
 /// Late requests give way to one in time, whatever their rank.
 AdmissionControl::Queue::iterator AdmissionControl::FindVictim(
     const AdmissionRequest& request, SteadyTime now) {
@@ -248,10 +314,11 @@
 void AdmissionControl::AdmitQueued(SteadyTime now, Decisions* decisions) {
   while (!queue_.empty() && HasFreeSlot(now)) {
     if (rate_limit_ && rate_limit_->WaitFor(1, now) > Duration::zero()) return;
+    RankByTeam(now);
     const auto next = TakeNext(now, decisions);
     if (!next) return;
     if (rate_limit_) rate_limit_->Take(now);
-    ++outstanding_;
+    Admit(*next, now);
     decisions->push_back({next->id, ResultCode::kOk, {}});
   }
 }
--- a/src/libquetzal/calls/admission_control.h
+++ b/src/libquetzal/calls/admission_control.h
@@ -10,7 +10,9 @@
 #include "base/result_code.h"
 #include "base/token_bucket.h"
 #include "calls/call_headers.h"
+#include "calls/running_requests.h"
 #include "calls/service_times.h"
+#include "calls/team_shares.h"
 #include "membership.pb.h"
 
 namespace quetzal {
@@ -37,6 +39,9 @@
   /// Made by a backend server while it runs another request, whose work is lost without
   /// the answer: goes before all other requests and has no objective but its deadline.
   bool nested = false;
+  std::string team;        ///< Of the caller; empty: not stated.
+  double team_weight = 1;  ///< The team's share of the slots follows from it.
+  double team_excess = 0;  ///< Set by AdmissionControl; see TeamShares::NextExcess.
 };
 
 /// Decision on one request: kOk admits it, any other code refuses it (not run).
@@ -72,6 +77,10 @@
 
   /// Frees the slot of an admitted request. `service_time` is zero when the request was
   /// cancelled or failed, since its duration does not reflect the speed of the server.
+  Decisions Finish(std::uint64_t id, const std::string& work, Duration service_time,
+                   SteadyTime now);
+
+  /// The same for the request that has been running for the longest time.
   Decisions Finish(const std::string& work, Duration service_time, SteadyTime now);
   Decisions Finish(Duration service_time, SteadyTime now) {
     return Finish("", service_time, now);
@@ -101,6 +110,14 @@
   std::size_t QueueLimit() const;
   ResultCode RefusalByState() const;
 
+  /// Times of the backend server at its present speed.
+  Duration ExpectedTime(const std::string& work, SteadyTime now) const;
+  Duration MeanTime(SteadyTime now) const;
+  void Admit(const AdmissionRequest& request, SteadyTime now);
+  /// Sorts the queue anew after the teams' shares changed.
+  void RankByTeam(SteadyTime now);
+  void RankByTeamWith(AdmissionRequest* request, SteadyTime now);
+  Decisions FreeSlot(const std::string& work, Duration service_time, SteadyTime now);
   /// Expected wait of `request` behind the queued requests that precede it.
   Duration EstimateWaitFor(const AdmissionRequest& request, SteadyTime now) const;
   Duration EstimateWait(Duration work_ahead, std::size_t requests_ahead,
@@ -133,6 +150,8 @@
   bool stopped_ = false;
   std::uint32_t outstanding_ = 0;
   ServiceTimes service_times_;
+  RunningRequests running_;
+  TeamShares team_shares_;
   Queue queue_;  ///< By rank; the first in the order of service is last.
 };
 
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -111,6 +111,11 @@
   request.max_wait = head_.max_wait;
   request.work = head_.route;
   request.nested = head_.nested;
+  request.team = head_.team;
+  if (!head_.team.empty()) {
+    const auto matcher = context_->matcher();
+    if (matcher) request.team_weight = matcher->TeamWeight(head_.team);
+  }
   admission_id_ = context_->admission->Offer(
       request, [call = shared_from_this()](const AdmissionDecision& decision) {
         call->queue_.Run([call, decision] { call->OnDecision(decision); });
@@ -477,7 +482,7 @@
 void BackendCall::ReleaseSlot(bool answered) {
   if (!holds_slot_) return;
   holds_slot_ = false;
-  context_->admission->Finish(head_.route,
+  context_->admission->Finish(admission_id_, head_.route,
                               answered ? context_->Now() - sent_at_ : Duration::zero());
 }
 
--- a/src/libquetzal/calls/route_matcher.h
+++ b/src/libquetzal/calls/route_matcher.h
@@ -43,6 +43,7 @@
   }
 
   const TeamIndex& teams() const { return *teams_; }
+  double TeamWeight(std::string_view team) const { return index_->TeamWeight(team); }
 
   const RoutingSnapshot& snapshot() const { return *snapshot_; }
 
