Distribution: a lease bounds how long withdrawn credentials are used

Cause: a node that is cut off, frozen or fed by a stale source would use a credential for any time after its withdrawal. A relay sends at most one question upstream in 200 ms then, for all subscribers that have asked meanwhile, so that control instances get few.

--- a/src/libquetzal/distribution/node_configuration.cc
+++ b/src/libquetzal/distribution/node_configuration.cc
@@ -28,8 +28,21 @@
 
 }  // namespace
 
-NodeConfiguration::NodeConfiguration(const Clock* clock, Duration pause_limit)
-    : clock_(clock), pause_limit_(pause_limit), last_run_at_(clock->Now()) {}
+NodeConfiguration::NodeConfiguration(const Clock* clock, Duration pause_limit,
+                                     const CredentialLease* lease)
+    : clock_(clock),
+      pause_limit_(pause_limit),
+      lease_(lease),
+      last_run_at_(clock->Now()) {}
+
+bool NodeConfiguration::credentials_proved() const {
+  return lease_ == nullptr || lease_->proved();
+}
+
+bool NodeConfiguration::has_teams() const {
+  return configuration_.configuration != nullptr &&
+         !configuration_.configuration->teams().empty();
+}
 
 std::shared_ptr<const RoutingSnapshot> NodeConfiguration::snapshot() const {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/libquetzal/distribution/node_configuration.h
+++ b/src/libquetzal/distribution/node_configuration.h
@@ -11,18 +11,26 @@
 #include "configuration.pb.h"
 #include "distribution.pb.h"
 #include "distribution/configuration_history.h"
+#include "distribution/credential_lease.h"
 
 namespace quetzal {
 
 /// The configuration that a node has applied, and whether it may serve with it.
-/// `snapshot()` may be called from any thread; all other calls must come on one executor.
+/// `snapshot()` and `credentials_proved()` may be called from any thread; all other calls
+/// must come on one executor.
 class NodeConfiguration final : public RoutingSource {
  public:
   /// A node that did not run for longer than `pause_limit` may not serve until its
   /// configuration is confirmed as fresh again.
-  NodeConfiguration(const Clock* clock, Duration pause_limit);
+  /// Without a `lease`, credentials are always proved; it must outlive this object.
+  NodeConfiguration(const Clock* clock, Duration pause_limit,
+                    const CredentialLease* lease = nullptr);
 
   std::shared_ptr<const RoutingSnapshot> snapshot() const override;
+  bool credentials_proved() const override;
+
+  /// True when the applied configuration has teams.
+  bool has_teams() const;
 
   /// Applies an update atomically. Returns false when it is not later than the applied
   /// version. Throws the errors of ApplyUpdate and changes nothing then.
@@ -59,6 +67,7 @@
 
   const Clock* clock_;
   Duration pause_limit_;
+  const CredentialLease* lease_;
   Version applied_version_;
   Version floor_;
   MeasuredConfiguration configuration_;
--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -54,6 +54,9 @@
   Duration cut_off_timeout = std::chrono::seconds(3);
   Duration leave_limit = std::chrono::seconds(3);
   Duration join_limit = std::chrono::seconds(2);  ///< See Status::joined.
+  /// Time for which credentials of teams are used after the question to which a control
+  /// instance has answered that none is withdrawn; 0: without such answers.
+  Duration credential_lease{};
   Duration backoff_base = std::chrono::milliseconds(100);
   Duration backoff_cap = std::chrono::seconds(2);
 };
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -43,7 +43,9 @@
     : identity_(std::move(identity)),
       settings_(std::move(settings)),
       dependencies_(dependencies),
-      configuration_(dependencies.clock, settings_.pause_limit),
+      credential_lease_(settings_.credential_lease, dependencies.clock,
+                        dependencies.random),
+      configuration_(dependencies.clock, settings_.pause_limit, &credential_lease_),
       freshness_check_({kFreshnessRetry, settings_.cut_off_timeout}, dependencies.clock,
                        dependencies.random),
       members_(std::make_shared<const std::vector<Member>>()) {
@@ -199,6 +201,7 @@
     fanout_->SendHeartbeats();
   }
   TickFreshness();
+  TickCredentialLease();
   TickRepair();
   TickAcks();
   TickLeaving();
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "distribution/ack_table.h"
+#include "distribution/credential_lease.h"
 #include "distribution/fanout.h"
 #include "distribution/freshness_check.h"
 #include "distribution/node_configuration.h"
@@ -47,6 +48,7 @@
   void ServePeers();
   void Tick();
   void TickFreshness();
+  void TickCredentialLease();
   void TickRepair();
   void TickAcks();
   void TickLeaving();
@@ -83,6 +85,7 @@
 
   ResultCode Admit(const Subscribe& subscribe) const;
   void AskUpstream(std::uint64_t question);
+  void SendUpstreamQuestion();
   std::vector<std::string> SomeAddresses();
   NodeAck MakeAck() const;
   void RecordOwnAck();
@@ -92,6 +95,7 @@
   NodeIdentity identity_;
   NodeDistributionSettings settings_;
   Dependencies dependencies_;
+  CredentialLease credential_lease_;
   NodeConfiguration configuration_;
   FreshnessCheck freshness_check_;
   std::unique_ptr<Membership> membership_;
@@ -101,6 +105,7 @@
   AckTable ack_table_;
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> ack_timer_;
+  std::unique_ptr<Timer> upstream_timer_;
   std::map<std::string, MemberState> reported_states_;
   std::string observations_;  ///< Of all members, serialized, without departures.
   std::shared_ptr<const CrashingRequests> crashing_;  ///< Null when there are none.
--- a/src/libquetzal/distribution/node_distribution_core_source.cc
+++ b/src/libquetzal/distribution/node_distribution_core_source.cc
@@ -25,6 +25,9 @@
 constexpr std::size_t kPolledRemotePeers = 1;
 constexpr Duration kFetchAfter = std::chrono::milliseconds(1200);
 constexpr Duration kUpstreamTimeout = std::chrono::seconds(2);
+/// With credential leases, each subscriber asks once a second. One question upstream
+/// stands for those that have arrived meanwhile, so that control instances get few.
+constexpr Duration kUpstreamSpacing = std::chrono::milliseconds(200);
 constexpr std::size_t kAddressesPerAnswer = 6;
 constexpr char kVersionsMethod[] = "/distribution/versions";
 constexpr char kFetchMethod[] = "/distribution/fetch";
@@ -86,6 +89,8 @@
       RecordOwnAck();
       SendAcks(ack_table_.TakeChanged(true, dependencies_.clock->Now()));
       TickFreshness();
+      credential_lease_.OnSourceChanged();
+      TickCredentialLease();
       return;
     case DownMessage::kUpdate:
       return OnUpdate(message.update());
@@ -123,6 +128,8 @@
   if (starting_) RefreshSources();
   const Version& applied = configuration_.applied_version();
   membership_->SetAppliedVersion(applied);
+  credential_lease_.OnApplied(applied);
+  TickCredentialLease();
   // Subscribers of this relay get the update before the own report is sent.
   fanout_->Publish(applied, configuration_.configuration());
   Emit("configuration.applied", {{"version", ToText(applied)}});
@@ -148,6 +155,10 @@
   if (freshness_check_.OnVerified(verified.nonce())) {
     return ConfirmFresh(verified.committed(), "control");
   }
+  if (credential_lease_.OnVerified(verified.nonce(), verified.committed(),
+                                   configuration_.applied_version())) {
+    return;
+  }
   if (upstream_nonce_ == 0 || verified.nonce() != upstream_nonce_) return;
   upstream_nonce_ = 0;
   fanout_->AnswerQuestion(upstream_question_, true, verified.committed());
@@ -180,6 +191,15 @@
   if (freshness_check_.ShouldAskPeers()) AskPeers();
 }
 
+void NodeDistribution::Core::TickCredentialLease() {
+  if (!configuration_.has_teams() || !link_->open()) return;
+  const std::uint64_t nonce = credential_lease_.DueQuestion();
+  if (nonce == 0) return;
+  UpMessage message;
+  message.mutable_verify()->set_nonce(nonce);
+  link_->Send(message);
+}
+
 void NodeDistribution::Core::AskPeers() {
   const std::vector<std::string> peers = LocalMembers(false, true);
   freshness_check_.AskPeers(peers);
@@ -283,13 +303,25 @@
 
 void NodeDistribution::Core::AskUpstream(std::uint64_t question) {
   upstream_question_ = question;
+  const Duration wait =
+      upstream_asked_at_ + kUpstreamSpacing - dependencies_.clock->Now();
+  const bool leases =
+      settings_.credential_lease > Duration::zero() && configuration_.has_teams();
+  if (!leases || wait <= Duration::zero()) return SendUpstreamQuestion();
+  upstream_timer_ = dependencies_.executor->After(wait, [weak = weak_from_this()] {
+    auto core = weak.lock();
+    if (core != nullptr && !core->stopped_) core->SendUpstreamQuestion();
+  });
+}
+
+void NodeDistribution::Core::SendUpstreamQuestion() {
   upstream_nonce_ = dependencies_.random->Next() | (1ULL << 63);
   upstream_asked_at_ = dependencies_.clock->Now();
   UpMessage message;
   message.mutable_verify()->set_nonce(upstream_nonce_);
   if (link_->Send(message)) return;
   upstream_nonce_ = 0;
-  Post([question](Core* self) {
+  Post([question = upstream_question_](Core* self) {
     self->fanout_->AnswerQuestion(question, false, Version());
   });
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -140,6 +140,7 @@
   NodeDistributionSettings distribution;
   const std::vector<Endpoint> controls = settings.Addresses("control");
   distribution.controls = WithPort(controls, settings.Integer("control-port"));
+  distribution.credential_lease = settings.Millis("credential-lease-ms");
   distribution.backoff_cap = settings.Millis("reconnect-cap-ms");
   distribution.seeds = settings.Addresses("seeds");
   if (const std::int64_t port = settings.Integer("control-gossip-port")) {
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -46,6 +46,9 @@
            "callers."},
           {"reconnect-cap-ms", K::kMillis, "ms", "2000", 10, 600000, false,
            "Longest pause between tries to reach a source of configurations."},
+          {"credential-lease-ms", K::kMillis, "ms", "0", 0, 600000, false,
+           "Time for which credentials of teams are used after a control instance has "
+           "confirmed them; 0: without confirmation."},
           {"caller-grace-ms", K::kMillis, "ms", "0", 0, 600000, false,
            "Time after a stop signal in which new callers are still served."},
           {"stop-limit-ms", K::kMillis, "ms", "0", 0, 600000, false,
--- a/tests/simulation/sim_fleet.h
+++ b/tests/simulation/sim_fleet.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "configuration/credential.h"
 #include "distribution/configuration_history.h"
 #include "distribution/node_distribution.h"
 #include "distribution/publisher.h"
@@ -21,6 +22,8 @@
   std::vector<std::pair<std::string, int>> data_centres;  ///< Name and number of nodes.
   std::vector<std::string> control_data_centres;          ///< One control instance each.
   std::size_t relay_threshold = 8;
+  Duration credential_lease{};
+  bool has_teams = false;  ///< Each configuration replaces the credential of a team.
 };
 
 /// A simulated fleet that records what was confirmed, applied and reported. Checks its
@@ -97,6 +100,7 @@
     identity.gossip = node->host->gossip;
     NodeDistributionSettings settings;
     settings.relay_threshold = shape_.relay_threshold;
+    settings.credential_lease = shape_.credential_lease;
     for (const Control& control : controls)
       settings.controls.push_back(control.host->stream);
     for (const Node& other : nodes) {
@@ -163,6 +167,7 @@
     }
     if (2 * reached <= controls.size()) return false;
     confirmed.push_back(MakeConfiguration(static_cast<int>(confirmed.size()) + 1, valid));
+    confirmed_at.push_back(world.clock.Now());
     for (Control& control : controls) {
       if (ReachesMajority(control)) Replicate(&control);
     }
@@ -267,8 +272,9 @@
   std::vector<Node> nodes;
   std::vector<Control> controls;
   std::vector<std::shared_ptr<const Configuration>> confirmed;
-  std::vector<std::string> violations;  ///< Violated invariants, up to 20.
-  std::map<std::string, int> events;    ///< Number of events of the nodes, by name.
+  std::vector<SteadyTime> confirmed_at;  ///< Same positions as `confirmed`.
+  std::vector<std::string> violations;   ///< Violated invariants, up to 20.
+  std::map<std::string, int> events;     ///< Number of events of the nodes, by name.
 
  private:
   class CallbackEventLog final : public EventLog {
@@ -353,6 +359,11 @@
     Target* target = route->add_targets();
     target->set_service(valid ? "desk" : "nowhere");
     target->set_weight(static_cast<std::uint32_t>(n));
+    if (shape_.has_teams) {
+      Team* team = configuration->add_teams();
+      team->set_name("rioja");
+      team->add_credential_digests(CredentialDigest("key " + std::to_string(n)));
+    }
     if (!valid) invalid_.insert(static_cast<std::size_t>(n));
     return configuration;
   }
