--- a/src/libquetzal/calls/call_rollout.cc
+++ b/src/libquetzal/calls/call_rollout.cc
@@ -32,9 +32,9 @@
   if (rollout == nullptr) return targets_;
   const bool drawn = draw_.rollout == rollout->started().index();
   const double unit = drawn ? 0 : context_->RandomUnit();
-  targets_ = context_->rollouts.Admissible(*rollout, targets_, unit, repeated_,
-                                           TimeSince(*rollout, *context_->deps.clock),
-                                           &draw_);
+  targets_ =
+      context_->rollouts.Admissible(*rollout, targets_, unit, repeated_,
+                                    TimeSince(*rollout, *context_->deps.clock), &draw_);
   return targets_;
 }
 
@@ -42,6 +42,15 @@
   if (attempt_.rollout != 0) sent_at_ = context_->Now();
 }
 
+void CallRollout::RecordRefusal(const BackendTarget& target) {
+  if (!context_->rollouts.RecordRefusal(target, configuration_index_)) return;
+  context_->deps.events->Emit({"rollout.refused",
+                               {{"service", target.service},
+                                {"server_version", target.version},
+                                {"peer", target.instance},
+                                {"version", std::to_string(configuration_index_)}}});
+}
+
 bool CallRollout::UseOldVersion() {
   if (!draw_.is_new || repeated_) return false;
   context_->rollouts.Release(service_, &draw_);
@@ -51,8 +60,7 @@
 void CallRollout::Begin(const RouteMatcher& matcher, const BackendTarget& target,
                         const std::string& route) {
   if (!has_rollouts_) return;
-  const Rollout* rollout =
-      FindRollout(*matcher.snapshot().configuration, target.service);
+  const Rollout* rollout = FindRollout(*matcher.snapshot().configuration, target.service);
   if (rollout == nullptr) return;
   attempt_ = context_->version_counters.Begin(*rollout, target.version, route);
   MarkSent();
--- a/src/libquetzal/calls/call_rollout.h
+++ b/src/libquetzal/calls/call_rollout.h
@@ -44,9 +44,7 @@
   void End(VersionOutcome outcome);
 
   /// The attempt's node refused the configuration that was used for it.
-  void RecordRefusal(const BackendTarget& target) {
-    context_->rollouts.RecordRefusal(target, configuration_index_);
-  }
+  void RecordRefusal(const BackendTarget& target);
 
   /// Log index of the configuration used for the attempt; null without any rollout.
   std::optional<std::uint64_t> stated_index() const {
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -22,6 +22,9 @@
 /// kDeadlineExceeded.
 constexpr Duration kOutcomeGrace = std::chrono::seconds(30);
 
+/// A caller that gives up in the last tenth of the time had no answer in time.
+constexpr int kLatePartDivisor = 10;
+
 bool IsCapacityRefusal(ResultCode code) {
   return code == ResultCode::kServerFull || code == ResultCode::kShed;
 }
@@ -266,10 +269,14 @@
 void CallerCall::Abandon() {
   const bool sent = attempt_ && confirmed_;
   if (attempt_) attempt_->Reset();
+  // A caller with the same deadline may give up before the timer of this node fires.
+  const Duration timeout = deadline_ - started_;
+  const bool late =
+      deadline_passed_ || deadline_ - context_->Now() < timeout / kLatePartDivisor;
   EndAttempt(deadline_passed_ ? AttemptEnd::kFailed : AttemptEnd::kAbandoned,
-             !sent              ? VersionOutcome::kNotRun
-             : deadline_passed_ ? VersionOutcome::kFailed
-                                : VersionOutcome::kNoResult);
+             !sent  ? VersionOutcome::kNotRun
+             : late ? VersionOutcome::kFailed
+                    : VersionOutcome::kNoResult);
   EndCall();
 }
 
--- a/src/libquetzal/calls/rollout_router.cc
+++ b/src/libquetzal/calls/rollout_router.cc
@@ -155,13 +155,17 @@
   if (it != shares_.end() && it->second.rollout == rollout) ++it->second.served;
 }
 
-void RolloutRouter::RecordRefusal(const BackendTarget& target,
+bool RolloutRouter::RecordRefusal(const BackendTarget& target,
                                   std::uint64_t configuration_index) {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (refusals_.size() >= kMaxRefusals) refusals_.clear();
-  std::uint64_t& refused = refusals_[{target.service, target.version}];
-  refused = std::max(refused, configuration_index);
   has_refusals_ = true;
+  const auto [it, added] = refusals_.try_emplace(
+      std::pair(target.service, target.version), configuration_index);
+  if (added) return true;
+  if (it->second >= configuration_index) return false;
+  it->second = configuration_index;
+  return true;
 }
 
 void RolloutRouter::DropRefused(std::uint64_t configuration_index,
--- a/src/libquetzal/calls/rollout_router.h
+++ b/src/libquetzal/calls/rollout_router.h
@@ -49,16 +49,16 @@
                      bool repeated, std::chrono::microseconds since_start,
                      CanaryDraw* draw);
 
-  /// Frees the place that `draw` holds in the share: no server of the new version has seen
-  /// the request. It uses the old version from now on.
+  /// Frees the place that `draw` holds in the share: no server of the new version has
+  /// seen the request. It uses the old version from now on.
   void Release(const std::string& service, CanaryDraw* draw);
 
   /// Counts a request that a server has seen, once per request.
   void CountServed(const std::string& service, std::uint64_t rollout);
 
   /// Records that the node of a server with this version refused a call because the
-  /// configuration with `configuration_index` is too old for it.
-  void RecordRefusal(const BackendTarget& target, std::uint64_t configuration_index);
+  /// configuration with `configuration_index` is too old for it. False when it is known.
+  bool RecordRefusal(const BackendTarget& target, std::uint64_t configuration_index);
 
   /// Drops targets whose version refuses this configuration.
   void DropRefused(std::uint64_t configuration_index, Targets* targets) const;
@@ -69,8 +69,8 @@
 
  private:
   struct Share {
-    std::uint64_t rollout = 0;  ///< Log index of its order.
-    std::uint64_t served = 0;   ///< Requests that a server has seen, of either version.
+    std::uint64_t rollout = 0;   ///< Log index of its order.
+    std::uint64_t served = 0;    ///< Requests that a server has seen, of either version.
     std::uint64_t canaries = 0;  ///< Requests sent to the new version, also unfinished.
   };
 
--- a/src/libquetzal/distribution/node_distribution.h
+++ b/src/libquetzal/distribution/node_distribution.h
@@ -79,8 +79,8 @@
     /// of it, published; the same ones may be repeated. May be null.
     std::function<void(const ServerObservations&)> on_former_observations;
 
-    /// Returns the responses that this node has counted by version. Called on the executor
-    /// while a rollout is running or shifting. May be null.
+    /// Returns the responses that this node has counted by version. Called on the
+    /// executor while a rollout is running or shifting. May be null.
     std::function<std::vector<VersionCounts>()> version_counts;
   };
 
--- a/src/node/node_admin.cc
+++ b/src/node/node_admin.cc
@@ -32,11 +32,13 @@
 
 Json ToJson(const LocalBackendServer& server) {
   if (server.state == SERVER_NONE) return nullptr;
-  return {{"service", server.service},
-          {"address", server.address.ToString()},
-          {"slots", server.slots},
-          {"connections", server.connections},
-          {"state", ServerStateName(server.state)}};
+  Json json = {{"service", server.service},
+               {"address", server.address.ToString()},
+               {"slots", server.slots},
+               {"connections", server.connections},
+               {"state", ServerStateName(server.state)}};
+  if (!server.version.empty()) json["version"] = server.version;
+  return json;
 }
 
 Json ToJson(const CallCounts& counts) {
@@ -92,6 +94,8 @@
                     {"stream_address", member.stream_address()},
                     {"service", member.server().service()},
                     {"server_state", ServerStateName(member.server().state())}});
+    const std::string& version = member.server().version();
+    if (!version.empty()) list.back()["server_version"] = version;
   }
   return {{"members", list}};
 }
--- a/tests/calls/rollout_calls_test.cc
+++ b/tests/calls/rollout_calls_test.cc
@@ -26,7 +26,9 @@
     cluster_.SetState(node, SERVER_UP);
   }
   /// The log index of the next configuration.
-  std::uint64_t NextIndex() const { return cluster_.routing.current->version.index() + 1; }
+  std::uint64_t NextIndex() const {
+    return cluster_.routing.current->version.index() + 1;
+  }
 
   void StartRollout() {
     Rollout* rollout = cluster_.configuration.add_rollouts();
@@ -281,7 +283,8 @@
   for (const VersionCounts& counts : Counts()) {
     EXPECT_EQ(counts.service(), "desk");
     EXPECT_EQ(counts.route(), "reports");
-    EXPECT_EQ(counts.started().index(), cluster_.configuration.rollouts(0).started().index());
+    EXPECT_EQ(counts.started().index(),
+              cluster_.configuration.rollouts(0).started().index());
   }
   Advance(ROLLOUT_COMPLETE);
   EXPECT_TRUE(Counts().empty());
@@ -303,6 +306,25 @@
   EXPECT_EQ(Sum(true).running(), 0U);
 }
 
+// Guards against a version that hangs and is not noticed, since the callers' timers fire
+// before those of the nodes. Callers that cancel early say nothing about the version.
+TEST_F(RolloutCallsTest, CallersThatGiveUpLateCountAsFailures) {
+  StartRollout();
+  Advance(ROLLOUT_SHIFTING);
+  ForAllNew([](FakeBackendServer* server) { server->behaviour = Behaviour::kHang; });
+  const auto early = cluster_.GetReport(0);
+  const auto late = cluster_.GetReport(1);
+  cluster_.Run(seconds(1));
+  EXPECT_EQ(Sum(true).running(), 2U);
+  early->stream->Reset();
+  cluster_.Run(milliseconds(3900));
+  EXPECT_EQ(Sum(true).failed(), 0U);
+  late->stream->Reset();
+  cluster_.Run(milliseconds(50));
+  EXPECT_EQ(Sum(true).failed(), 1U);
+  EXPECT_EQ(Sum(true).running(), 0U);
+}
+
 // Guards against old servers that are stopped while they run requests.
 TEST_F(RolloutCallsTest, RequestsAtOldServersCountAsRunningUntilTheyEnd) {
   StartRollout();
--- a/tests/calls/rollout_router_test.cc
+++ b/tests/calls/rollout_router_test.cc
@@ -155,6 +155,26 @@
   EXPECT_LT(fleet.share(), 0.08);
 }
 
+// Guards against new servers that get more than the share as each of them starts, and
+// against requests to servers that are not up yet.
+TEST(RolloutRouterTest, NewServersThatStartOneByOneKeepToTheShare) {
+  RoutingFleet fleet(90, {30, 0});
+  fleet.SendMany(5000);
+  EXPECT_EQ(fleet.at_new(), 0);
+  for (int n = 0; n < 10; ++n) {
+    BackendTarget* cold = fleet.servers().Add("new-" + std::to_string(n), "v2");
+    cold->state = SERVER_STARTING;
+    const int before = fleet.at_new();
+    fleet.SendMany(100);
+    if (n == 0) {
+      EXPECT_EQ(fleet.at_new(), before);
+    }
+    cold->state = SERVER_UP;
+    fleet.SendMany(2000);
+  }
+  EXPECT_GT(fleet.at_new(), 500);
+}
+
 // Guards against a first request at every node that goes to the new version.
 TEST(RolloutRouterTest, ColdNodesKeepToTheShare) {
   RoutingFleet fleet(300, {100, 100});
@@ -371,7 +391,8 @@
   const Servers servers(3, 3);
   EXPECT_FALSE(router.has_refusals());
   const Targets all = servers.all();
-  router.RecordRefusal(*all.back(), 39);
+  EXPECT_TRUE(router.RecordRefusal(*all.back(), 39));
+  EXPECT_FALSE(router.RecordRefusal(*all.back(), 39)) << "an event for each request";
   EXPECT_TRUE(router.has_refusals());
   Targets left = all;
   router.DropRefused(39, &left);
--- a/tests/calls/sim_cluster.cc
+++ b/tests/calls/sim_cluster.cc
@@ -255,9 +255,14 @@
 
 void SimCluster::SetState(std::size_t node, ServerState state) {
   states[node] = state;
-  nodes[node].path->SetBackendServer(
-      {"desk", nodes[node].backend, slots_, 130, state, "i-" + nodes[node].name, {},
-       versions[node]});
+  nodes[node].path->SetBackendServer({"desk",
+                                      nodes[node].backend,
+                                      slots_,
+                                      130,
+                                      state,
+                                      "i-" + nodes[node].name,
+                                      {},
+                                      versions[node]});
 }
 
 void SimCluster::Distribute() {
--- a/tests/calls/version_counters_test.cc
+++ b/tests/calls/version_counters_test.cc
@@ -27,7 +27,8 @@
   return configuration;
 }
 
-// Guards against a response that counts on the other side, on another route or not at all.
+// Guards against a response that counts on the other side, on another route or not at
+// all.
 TEST(VersionCountersTest, CountsByRouteAndSide) {
   VersionCounters counters;
   const Rollout rollout = MakeRollout("desk", ROLLOUT_RUNNING);
