--- a/src/libquetzal/calls/call_rollout.cc
+++ b/src/libquetzal/calls/call_rollout.cc
@@ -42,6 +42,15 @@
   if (attempt_.rollout != 0) sent_at_ = context_->Now();
 }
 
+void CallRollout::RecordRefusal(const BackendTarget& target) {
+  if (!context_->rollouts.RecordRefusal(target, configuration_index_)) return;
+  context_->deps.events->Emit({"rollout.refused",
+                               {{"service", target.service},
+                                {"server_version", target.version},
+                                {"peer", target.instance},
+                                {"version", std::to_string(configuration_index_)}}});
+}
+
 bool CallRollout::UseOldVersion() {
   if (!draw_.is_new || repeated_) return false;
   context_->rollouts.Release(service_, &draw_);
--- a/src/libquetzal/calls/rollout_router.h
+++ b/src/libquetzal/calls/rollout_router.h
@@ -57,8 +57,8 @@
   void CountServed(const std::string& service, std::uint64_t rollout);
 
   /// Records that the node of a server with this version refused a call because the
-  /// configuration with `configuration_index` is too old for it.
-  void RecordRefusal(const BackendTarget& target, std::uint64_t configuration_index);
+  /// configuration with `configuration_index` is too old for it. False when it is known.
+  bool RecordRefusal(const BackendTarget& target, std::uint64_t configuration_index);
 
   /// Drops targets whose version refuses this configuration.
   void DropRefused(std::uint64_t configuration_index, Targets* targets) const;
