--- a/src/libquetzal/control/intent_machine.h
+++ b/src/libquetzal/control/intent_machine.h
@@ -13,12 +13,13 @@
 #include <vector>
 
 #include "agreement/agreement.h"
-#include "configuration/plan.h"
 #include "control.pb.h"
 #include "control/intent_id.h"
 
 namespace quetzal {
 
+struct Plan;
+
 /// Limits on what the replicated state keeps.
 struct IntentRetention {
   std::size_t closed_intents = 1000;  ///< Beyond it, the lowest number is dropped.
--- a/src/libquetzal/control/intent_machine_rollout.cc
+++ b/src/libquetzal/control/intent_machine_rollout.cc
@@ -5,6 +5,7 @@
 #include "base/concat.h"
 #include "base/result_code.h"
 #include "configuration/configuration_check.h"
+#include "configuration/plan.h"
 #include "configuration/rollout_list.h"
 #include "configuration/version.h"
 #include "control/intent_machine.h"
--- a/src/libquetzal/control/rollout_judge.cc
+++ b/src/libquetzal/control/rollout_judge.cc
@@ -222,12 +222,12 @@
   std::string doubt;
   if (finding.comparison == Comparison::kUnclear) doubt = finding.text;
   if (IsSilent(evidence)) doubt = "the new version answers nothing any more";
-  if (all.total() < kMinResponses) {
-    doubt = Concat("only ", all.total(), " responses of the new version");
-  }
   if (SumOf(evidence.whole, &RouteResponses::old_version).total() < kMinRouteResponses) {
     doubt = "too few responses of the old version to compare with";
   }
+  if (all.total() < kMinResponses) {
+    doubt = Concat("only ", all.total(), " responses of the new version");
+  }
   if (!view.complete_reports) doubt = "not all nodes have reported";
   const Duration reserve =
       std::max(part(kReserveShare), std::min(kMinReserve, part(kMaxReserveShare)));
