Rollouts: a call meant for an old server does not run at a new one

Cause: when a server of the new version replaces an old one at the same node, the other nodes hold it for old until gossip reaches them, and sent it a full part of the requests. Change: only a call to a server that its sender knows as new states the index of the configuration, so the node of the new server refuses the others (not run). Such a refusal does not mark the former version as refused, and marks never leave a request without any server.

--- a/src/libquetzal/calls/call_rollout.cc
+++ b/src/libquetzal/calls/call_rollout.cc
@@ -43,6 +43,8 @@
 }
 
 void CallRollout::RecordRefusal(const BackendTarget& target) {
+  // Another server has replaced the target; the version that it had is not refused.
+  if (knows_rollout_ && !target_is_new_) return;
   if (!context_->rollouts.RecordRefusal(target, configuration_index_)) return;
   context_->deps.events->Emit({"rollout.refused",
                                {{"service", target.service},
@@ -59,9 +61,13 @@
 
 void CallRollout::Begin(const RouteMatcher& matcher, const BackendTarget& target,
                         const std::string& route) {
+  knows_rollout_ = false;
+  target_is_new_ = false;
   if (!has_rollouts_) return;
   const Rollout* rollout = FindRollout(*matcher.snapshot().configuration, target.service);
   if (rollout == nullptr) return;
+  knows_rollout_ = true;
+  target_is_new_ = target.version == rollout->version();
   attempt_ = context_->version_counters.Begin(*rollout, target.version, route);
   MarkSent();
 }
--- a/src/libquetzal/calls/call_rollout.h
+++ b/src/libquetzal/calls/call_rollout.h
@@ -46,9 +46,11 @@
   /// The attempt's node refused the configuration that was used for it.
   void RecordRefusal(const BackendTarget& target);
 
-  /// Log index of the configuration used for the attempt; null without any rollout.
+  /// Log index of the configuration used for the attempt; null unless its server is known
+  /// to have the version of a rollout. A call meant for an old server, which a new one
+  /// has replaced, is refused without it.
   std::optional<std::uint64_t> stated_index() const {
-    return has_rollouts_ ? std::optional(configuration_index_) : std::nullopt;
+    return target_is_new_ ? std::optional(configuration_index_) : std::nullopt;
   }
 
  private:
@@ -60,7 +62,9 @@
   SteadyTime sent_at_;
   std::uint64_t configuration_index_ = 0;
   bool has_rollouts_ = false;
-  bool repeated_ = false;  ///< A server has seen the request.
+  bool knows_rollout_ = false;  ///< Of the service.
+  bool target_is_new_ = false;  ///< Of the attempt.
+  bool repeated_ = false;       ///< A server has seen the request.
 };
 
 }  // namespace quetzal
--- a/src/libquetzal/calls/rollout_router.cc
+++ b/src/libquetzal/calls/rollout_router.cc
@@ -175,6 +175,7 @@
     const auto it = refusals_.find({target->service, target->version});
     return it != refusals_.end() && it->second >= configuration_index;
   };
+  if (std::all_of(targets->begin(), targets->end(), is_refused)) return;
   targets->erase(std::remove_if(targets->begin(), targets->end(), is_refused),
                  targets->end());
 }
--- a/src/libquetzal/calls/rollout_router.h
+++ b/src/libquetzal/calls/rollout_router.h
@@ -60,7 +60,8 @@
   /// configuration with `configuration_index` is too old for it. False when it is known.
   bool RecordRefusal(const BackendTarget& target, std::uint64_t configuration_index);
 
-  /// Drops targets whose version refuses this configuration.
+  /// Drops targets whose version refuses this configuration, unless all do: the version
+  /// of a server may have changed before it refused a call.
   void DropRefused(std::uint64_t configuration_index, Targets* targets) const;
   bool has_refusals() const { return has_refusals_; }
 
--- a/tests/calls/rollout_calls_test.cc
+++ b/tests/calls/rollout_calls_test.cc
@@ -1,8 +1,10 @@
 // Requests through whole nodes while their service moves to another version.
+#include <map>
 #include <utility>
 
 #include <gtest/gtest.h>
 
+#include "calls/call_rollout.h"
 #include "calls/sim_cluster.h"
 
 namespace quetzal {
@@ -118,6 +120,32 @@
   EXPECT_LT(at_new, 200);
 }
 
+// Guards against a share of which the routes with fewer requests get nothing, so that a
+// version that is bad on one of them is not found.
+TEST_F(RolloutCallsTest, EachRouteGetsItsPartOfTheShare) {
+  StartRollout();
+  for (std::size_t n = 0; n < 2000; ++n) {
+    if (n % 4 == 0) {
+      const std::string name = std::to_string(n);
+      cluster_.PostOrder(n / 4 % kNodes, "key-" + name, "order-" + name);
+    } else {
+      cluster_.GetReport(n % kNodes);
+    }
+    cluster_.Run(milliseconds(4));
+  }
+  cluster_.Run(seconds(6));
+  EXPECT_LT(RunsAt(true), 200);
+  EXPECT_EQ(RunsAt(true) + RunsAt(false), 2000);
+  std::map<std::string, std::uint64_t> at_new;
+  for (const VersionCounts& counts : Counts()) {
+    if (counts.new_version()) at_new[counts.route()] += counts.answered();
+  }
+  EXPECT_GT(at_new["reports"], 50U);
+  EXPECT_GT(at_new["orders"], 15U);
+  EXPECT_EQ(at_new["reports"] + at_new["orders"],
+            static_cast<std::uint64_t>(RunsAt(true)));
+}
+
 TEST_F(RolloutCallsTest, RequestsFollowTheStateOfTheRollout) {
   StartRollout();
   Advance(ROLLOUT_SHIFTING);
@@ -155,6 +183,18 @@
   EXPECT_EQ(TakeRuns(true), 0);
 }
 
+// Guards against a full part of the requests for a new server that took the place of an
+// old one, until the other nodes learn of it; and against avoiding all old servers then.
+TEST_F(RolloutCallsTest, AReplacedServerGetsNoRequestMeantForAnOldOne) {
+  Stick(3);
+  StartRollout();
+  SetVersion(0, "v2");
+  EXPECT_EQ(Send(400), 400);
+  EXPECT_EQ(cluster_.servers[0]->total_runs(), 0);
+  EXPECT_LT(RunsAt(true), 40);
+  EXPECT_LT(cluster_.nodes[3].path->counts().retried, 60U);
+}
+
 // Guards against refusals for this reason that use up the budget for other retries, and
 // against attempts that are all spent on new servers: the first refusal is enough.
 TEST_F(RolloutCallsTest, RefusalsOfOutdatedCallsAreFewAndFree) {
--- a/tests/calls/rollout_router_test.cc
+++ b/tests/calls/rollout_router_test.cc
@@ -400,6 +400,10 @@
   left = all;
   router.DropRefused(40, &left);
   EXPECT_EQ(left.size(), all.size());
+  // Guards against a node without any server, after one was replaced by another version.
+  router.RecordRefusal(*all.front(), 39);
+  router.DropRefused(39, &left);
+  EXPECT_EQ(left.size(), all.size());
 }
 
 // Guards against calls of nodes that do not know the rollout, or not its end.
