Intents: teams and public routes

Cause: operators of meshes without the platform's orders could not set teams. Change: the intent file has `teams` with keys in plaintext, kept as digests, `remove.teams`, and `public` of a route; plans state the number of keys, never a key, and errors about keys show no value. The report of the configuration states the number of credentials in place of their digests.

--- a/src/libquetzal/configuration/intent_file.cc
+++ b/src/libquetzal/configuration/intent_file.cc
@@ -7,6 +7,7 @@
 #include "base/settings.h"
 #include "configuration/configuration_limits.h"
 #include "configuration/json_cursor.h"
+#include "configuration/team_intent.h"
 
 namespace quetzal {
 namespace {
@@ -68,7 +69,7 @@
 
 void ReadRoute(const JsonCursor& cursor, Route* route) {
   cursor.ExpectObject(
-      {"name", "match", "idempotent", "targets", "timeout_ms", "priority"});
+      {"name", "match", "idempotent", "targets", "timeout_ms", "priority", "public"});
   route->set_name(cursor.At("name").Name());
   ReadMatch(cursor.At("match"), route);
   route->set_idempotent(cursor.At("idempotent").Boolean());
@@ -78,6 +79,7 @@
   route->set_timeout_ms(
       OptionalInteger(cursor, "timeout_ms", 1, kMaxRouteTimeoutMs, kDefaultTimeoutMs));
   route->set_priority(OptionalInteger(cursor, "priority", 0, kMaxPriority, 0));
+  if (cursor.Has("public")) route->set_is_public(cursor.At("public").Boolean());
 }
 
 template <class List, class Read>
@@ -109,7 +111,7 @@
 }
 
 void ReadRemovals(const JsonCursor& cursor, IntentContent* content) {
-  cursor.ExpectObject({"services", "routes"});
+  cursor.ExpectObject({"services", "routes", "teams"});
   if (cursor.Has("services")) {
     ReadNames(cursor.At("services"), kMaxServices,
               [&](const std::string& name) { content->add_remove_services(name); });
@@ -118,6 +120,10 @@
     ReadNames(cursor.At("routes"), kMaxRoutes,
               [&](const std::string& name) { content->add_remove_routes(name); });
   }
+  if (cursor.Has("teams")) {
+    ReadNames(cursor.At("teams"), kMaxTeams,
+              [&](const std::string& name) { content->add_remove_teams(name); });
+  }
 }
 
 void ReadServers(const JsonCursor& root, IntentContent* content) {
@@ -181,6 +187,13 @@
       root.At("remove").Refuse(Concat("no route that is also declared: ", name));
     }
   }
+  set.clear();
+  for (const Team& team : content.set_teams()) set.insert(team.name());
+  for (const std::string& name : content.remove_teams()) {
+    if (set.count(name) > 0) {
+      root.At("remove").Refuse(Concat("no team that is also declared: ", name));
+    }
+  }
 }
 
 }  // namespace
@@ -190,8 +203,8 @@
       ParseJson(source, text, {kMaxIntentBytes, kMaxIntentDepth});
   const JsonCursor root(source, &document);
   root.ExpectObject({"version", "description", "data_centres", "services", "routes",
-                     "policy", "leave", "enter", "remove", "add_control_instance",
-                     "remove_control_instance"});
+                     "teams", "policy", "leave", "enter", "remove",
+                     "add_control_instance", "remove_control_instance"});
   root.At("version").Integer(kIntentFormatVersion, kIntentFormatVersion);
 
   IntentContent content;
@@ -210,6 +223,9 @@
   if (root.Has("routes")) {
     ReadNamedList(root.At("routes"), kMaxRoutes, content.mutable_set_routes(), ReadRoute);
   }
+  if (root.Has("teams")) {
+    ReadNamedList(root.At("teams"), kMaxTeams, content.mutable_set_teams(), ReadTeam);
+  }
   if (root.Has("policy")) ReadPolicy(root.At("policy"), content.mutable_policy());
   ReadServers(root, &content);
   if (root.Has("remove")) ReadRemovals(root.At("remove"), &content);
--- a/src/libquetzal/configuration/json_cursor.cc
+++ b/src/libquetzal/configuration/json_cursor.cc
@@ -108,7 +108,8 @@
 void JsonCursor::Refuse(const std::string& allowed) const {
   throw Error(ResultCode::kIntentMalformed,
               Concat(source_, ": ", pointer_.empty() ? "/" : pointer_, ": found ",
-                     DescribeValue(*value_), "; allowed is ", allowed));
+                     secret_ ? "a value that is not shown" : DescribeValue(*value_),
+                     "; allowed is ", allowed));
 }
 
 void JsonCursor::ExpectObject(const std::vector<std::string>& fields) const {
@@ -144,6 +145,7 @@
   std::vector<JsonCursor> elements;
   for (std::size_t i = 0; i < value_->size(); ++i) {
     elements.push_back(JsonCursor(source_, Concat(pointer_, "/", i), &(*value_)[i]));
+    elements.back().secret_ = secret_;
   }
   return elements;
 }
@@ -171,6 +173,19 @@
   return value_->get<std::uint32_t>();
 }
 
+double JsonCursor::Number(double min, double max) const {
+  const bool fits =
+      value_->is_number() && value_->get<double>() >= min && value_->get<double>() <= max;
+  if (!fits) Refuse(Concat("a number from ", min, " to ", max));
+  return value_->get<double>();
+}
+
+JsonCursor JsonCursor::Secret() const {
+  JsonCursor secret = *this;
+  secret.secret_ = true;
+  return secret;
+}
+
 bool JsonCursor::Boolean() const {
   if (!value_->is_boolean()) Refuse("true or false");
   return value_->get<bool>();
--- a/src/libquetzal/configuration/json_cursor.h
+++ b/src/libquetzal/configuration/json_cursor.h
@@ -43,6 +43,11 @@
   std::string Name() const;
   std::uint32_t Integer(std::uint32_t min, std::uint32_t max) const;
   bool Boolean() const;
+  double Number(double min, double max) const;
+
+  /// Returns this value as a secret: no error about it or its elements shows what was
+  /// found.
+  JsonCursor Secret() const;
 
   /// Throws the error for a value that is not as `allowed` describes.
   [[noreturn]] void Refuse(const std::string& allowed) const;
@@ -53,6 +58,7 @@
   std::string source_;
   std::string pointer_;
   const nlohmann::json* value_;
+  bool secret_ = false;
 };
 
 }  // namespace quetzal
--- a/src/libquetzal/configuration/plan.cc
+++ b/src/libquetzal/configuration/plan.cc
@@ -16,6 +16,7 @@
 #include "configuration/policy_change.h"
 #include "configuration/route_change.h"
 #include "configuration/service_change.h"
+#include "configuration/team_change.h"
 
 namespace quetzal {
 namespace {
@@ -118,6 +119,8 @@
   AddEntryRemovals<RouteChange>(base.routes(), content.remove_routes(), &plan.changes);
   AddEntryRemovals<ServiceChange>(base.services(), content.remove_services(),
                                   &plan.changes);
+  AddEntryChanges<TeamChange>(base.teams(), content.set_teams(), &plan.changes);
+  AddEntryRemovals<TeamChange>(base.teams(), content.remove_teams(), &plan.changes);
   AddLeaving(base, content, &plan.changes);
   if (content.has_policy()) AddPolicy(base.policy(), content.policy(), &plan.changes);
 
--- a/src/libquetzal/configuration/route_change.cc
+++ b/src/libquetzal/configuration/route_change.cc
@@ -40,7 +40,8 @@
 std::string DescribeRoute(const Route& route) {
   return Concat(DescribeTraffic(route), ", within ", route.timeout_ms(), " ms, ",
                 route.idempotent() ? "idempotent" : "non-idempotent",
-                route.priority() == 0 ? "" : Concat(", priority ", route.priority()));
+                route.priority() == 0 ? "" : Concat(", priority ", route.priority()),
+                route.is_public() ? ", public" : "");
 }
 
 RouteChange::RouteChange(std::optional<Route> before, std::optional<Route> after)
--- a/src/libquetzal/control/report_json.cc
+++ b/src/libquetzal/control/report_json.cc
@@ -143,7 +143,14 @@
   const auto status =
       google::protobuf::util::MessageToJsonString(configuration, &text, options);
   if (!status.ok()) throw Error(ResultCode::kInternalError, status.ToString());
-  return ReportJson::parse(text);
+  ReportJson json = ReportJson::parse(text);
+  // A digest would show an attacker when a guessed credential is right.
+  for (ReportJson& team : json["teams"]) {
+    const std::size_t count = team["credential_digests"].size();
+    team.erase("credential_digests");
+    team["credentials"] = count;
+  }
+  return json;
 }
 
 ReportJson JsonOfGroup(const ControlGroup& group) {
