--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -75,6 +75,9 @@
   std::atomic<std::uint64_t> admitted{0};
   std::atomic<std::uint64_t> shed{0};
   std::atomic<std::uint64_t> blocked{0};
+  std::atomic<std::uint64_t> credential_unknown{0};
+  std::atomic<std::uint64_t> credential_unproved{0};
+  std::atomic<std::uint64_t> quota_exceeded{0};
 
  private:
   void ApplyLimits();
--- a/src/libquetzal/calls/call_path.cc
+++ b/src/libquetzal/calls/call_path.cc
@@ -67,6 +67,9 @@
   counts.admitted = context.admitted;
   counts.shed = context.shed;
   counts.blocked = context.blocked;
+  counts.credential_unknown = context.credential_unknown;
+  counts.credential_unproved = context.credential_unproved;
+  counts.quota_exceeded = context.quota_exceeded;
   counts.in_flight = context.drain.active_calls();
   counts.queued = context.admission->load().queued;
   counts.rate_limit = context.rate_limit();
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -97,13 +97,17 @@
 
 /// Counts since the start, for the metrics of a node.
 struct CallCounts {
-  std::uint64_t accepted = 0;   ///< Requests from callers.
-  std::uint64_t answered = 0;   ///< Answered completely by a backend server.
-  std::uint64_t refused = 0;    ///< Answered with a result code instead.
-  std::uint64_t retried = 0;    ///< Attempts after the first.
-  std::uint64_t admitted = 0;   ///< Requests sent to the local backend server.
-  std::uint64_t shed = 0;       ///< Requests that admission refused.
-  std::uint64_t blocked = 0;    ///< Refused as they crash servers; also in `refused`.
+  std::uint64_t accepted = 0;  ///< Requests from callers.
+  std::uint64_t answered = 0;  ///< Answered completely by a backend server.
+  std::uint64_t refused = 0;   ///< Answered with a result code instead.
+  std::uint64_t retried = 0;   ///< Attempts after the first.
+  std::uint64_t admitted = 0;  ///< Requests sent to the local backend server.
+  std::uint64_t shed = 0;      ///< Requests that admission refused.
+  std::uint64_t blocked = 0;   ///< Refused as they crash servers; also in `refused`.
+  /// Refused with the code of this name; also in `refused`.
+  std::uint64_t credential_unknown = 0;
+  std::uint64_t credential_unproved = 0;
+  std::uint64_t quota_exceeded = 0;
   std::uint64_t in_flight = 0;  ///< Active calls of callers and peers.
   std::uint64_t queued = 0;     ///< Requests queued for a slot.
   /// Requests per second that the local backend server takes; null: no limit.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -28,6 +28,13 @@
   return code == ResultCode::kServerFull || code == ResultCode::kShed;
 }
 
+void CountRefusal(ResultCode code, CallContext* context) {
+  ++context->refused;
+  if (code == ResultCode::kCredentialUnknown) ++context->credential_unknown;
+  if (code == ResultCode::kCredentialUnproved) ++context->credential_unproved;
+  if (code == ResultCode::kQuotaExceeded) ++context->quota_exceeded;
+}
+
 Duration RetryAfter(ResultCode code) {
   if (code == ResultCode::kNodeStarting) return kRetryAfter;
   return code == ResultCode::kCredentialUnproved ? kProofRetryAfter : Duration::zero();
@@ -306,7 +313,7 @@
     ++context_->answered;
     return EndCall();
   }
-  if (!answer_.committed()) ++context_->refused;
+  if (!answer_.committed()) CountRefusal(refusal.code, context_.get());
   Refusal adjusted = refusal;
   if (IsCapacityRefusal(refusal.code)) {
     const SteadyTime now = context_->Now();
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -114,6 +114,7 @@
   bool has_sources_ = false;
   bool starting_ = true;  ///< No configuration yet; control instances are preferred.
   bool relay_ = false;
+  bool credentials_proved_ = false;  ///< As the last event states it.
   void BeginLeaving();
 
   bool leaving_ = false;
--- a/src/libquetzal/distribution/node_distribution_core_source.cc
+++ b/src/libquetzal/distribution/node_distribution_core_source.cc
@@ -192,7 +192,14 @@
 }
 
 void NodeDistribution::Core::TickCredentialLease() {
-  if (!configuration_.has_teams() || !link_->open()) return;
+  if (settings_.credential_lease <= Duration::zero() || !configuration_.has_teams()) {
+    return;
+  }
+  if (credential_lease_.proved() != credentials_proved_) {
+    credentials_proved_ = !credentials_proved_;
+    Emit(credentials_proved_ ? "credentials.proved" : "credentials.unproved", {});
+  }
+  if (!link_->open()) return;
   const std::uint64_t nonce = credential_lease_.DueQuestion();
   if (nonce == 0) return;
   UpMessage message;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -313,6 +313,7 @@
   const auto snapshot = distribution_->routing().snapshot();
   if (snapshot) report.crashing = snapshot->crashing;
   report.calls = calls_->counts();
+  report.credentials_proved = distribution_->routing().credentials_proved();
   report.key_records = key_holder_->record_count();
   report.key_bytes = key_holder_->record_bytes();
   report.peer_streams = streams_->open_streams();
--- a/tests/calls/request_fingerprint_test.cc
+++ b/tests/calls/request_fingerprint_test.cc
@@ -51,5 +51,18 @@
             Of("POST", "h", "/p", {}, start.substr(1)).digest);
 }
 
+// Guards against a request of one team that is refused as another team's request crashes
+// servers, and against a fingerprint that covers the key.
+TEST(RequestFingerprintTest, TheTeamCountsInPlaceOfTheCredential) {
+  const auto of_team = [](const std::string& team, const std::string& key) {
+    return RequestIdentity("GET", "r", "/p", {{"authorization", "Bearer " + key}}, team)
+        .Fingerprint()
+        .digest;
+  };
+  EXPECT_NE(of_team("rioja", "k-1"), of_team("soria", "k-1"));
+  EXPECT_EQ(of_team("rioja", "k-1"), of_team("rioja", "k-2"));
+  EXPECT_NE(of_team("", "k-1"), of_team("", "k-2"));
+}
+
 }  // namespace
 }  // namespace quetzal
--- a/tests/calls/team_call_test.cc
+++ b/tests/calls/team_call_test.cc
@@ -90,6 +90,8 @@
     EXPECT_EQ(HeaderValue(received->headers, "retry-after"), "");
   }
   EXPECT_EQ(cluster_.runs("report"), 0);
+  EXPECT_EQ(cluster_.nodes[0].path->counts().credential_unknown, 9U);
+  EXPECT_EQ(cluster_.nodes[0].path->counts().refused, 9U);
 }
 
 TEST_F(TeamCallTest, ARepeatedFieldWithOneCredentialIsServed) {
@@ -136,6 +138,7 @@
     EXPECT_EQ(received->result(), static_cast<int>(ResultCode::kCredentialUnproved));
     EXPECT_NE(HeaderValue(received->headers, "retry-after"), "");
   }
+  EXPECT_EQ(cluster_.nodes[0].path->counts().credential_unproved, 2U);
   EXPECT_EQ(Send({})->status(), "401") << "a missing credential needs no proof";
   EXPECT_EQ(cluster_.runs("report"), 0);
   cluster_.configuration.mutable_routes(0)->set_is_public(true);
--- a/tests/configuration/team_intent_test.cc
+++ b/tests/configuration/team_intent_test.cc
@@ -46,6 +46,14 @@
   EXPECT_EQ(content.SerializeAsString().find("k-1"), std::string::npos);
 }
 
+TEST(TeamIntentTest, ARouteMayBePublic) {
+  const std::string route =
+      R"("routes": [{"name": "r", "match": {"path_prefix": "/r"}, "idempotent": true,)"
+      R"( "targets": [{"service": "a"}])";
+  EXPECT_FALSE(Parse(route + "}]").set_routes(0).is_public());
+  EXPECT_TRUE(Parse(route + R"(, "public": true}])").set_routes(0).is_public());
+}
+
 // Guards against a key in an error that an operator's terminal or a log shows.
 TEST(TeamIntentTest, ErrorsShowNoKey) {
   const std::vector<std::string> bad = {
--- a/tests/control/order_service_test.cc
+++ b/tests/control/order_service_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include "base/result_code.h"
+#include "configuration/credential.h"
 #include "control/control_fakes.h"
+#include "control/report_json.h"
 
 namespace quetzal {
 namespace {
@@ -68,6 +70,35 @@
   EXPECT_EQ(Read(&a_), "document 4 desk");
 }
 
+// Guards against teams of an earlier order that stay, and against digests of keys in the
+// report of the configuration.
+TEST_F(OrderServiceTest, AnOrderReplacesTheTeams) {
+  ConfigurationOrder order = MakeOrder(4, 0);
+  Team* team = order.configuration.add_teams();
+  team->set_name("rioja");
+  team->add_credential_digests(CredentialDigest("k-1"));
+  EXPECT_EQ(Replace(&a_, order), ResultCode::kOk);
+  const auto configuration = a_.control.machine.configuration();
+  ASSERT_EQ(configuration->teams_size(), 1);
+  EXPECT_EQ(configuration->teams(0).credential_digests(0), CredentialDigest("k-1"));
+  const ReportJson report = JsonOfConfiguration(*configuration);
+  EXPECT_EQ(report["teams"][0]["credentials"], 1);
+  EXPECT_FALSE(report["teams"][0].contains("credential_digests"));
+  EXPECT_EQ(Replace(&a_, MakeOrder(5, 4)), ResultCode::kOk);
+  EXPECT_EQ(a_.control.machine.configuration()->teams_size(), 0);
+}
+
+TEST_F(OrderServiceTest, ASharedCredentialIsRefused) {
+  ConfigurationOrder order = MakeOrder(4, 0);
+  for (const char* name : {"rioja", "soria"}) {
+    Team* team = order.configuration.add_teams();
+    team->set_name(name);
+    team->add_credential_digests(CredentialDigest("k-1"));
+  }
+  EXPECT_EQ(Replace(&a_, order), ResultCode::kConfigurationInvalid);
+  EXPECT_EQ(Read(&a_), "pending");
+}
+
 TEST_F(OrderServiceTest, AnInstanceThatDoesNotLeadForwards) {
   EXPECT_EQ(Replace(&b_, MakeOrder(4, 0)), ResultCode::kOk);
   EXPECT_EQ(Read(&a_), "document 4 desk");
