--- a/src/node/node_admin.h
+++ b/src/node/node_admin.h
@@ -27,6 +27,7 @@
   std::shared_ptr<const CrashingRequests> crashing;  ///< Null when none are known.
   CallCounts calls;
   std::vector<TeamCount> teams;  ///< Of all teams with or without a quota, by name.
+  bool credentials_proved = true;  ///< See CredentialLease.
   std::size_t key_records = 0;
   std::size_t key_bytes = 0;
   std::size_t peer_streams = 0;
