--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -60,6 +60,7 @@
   void EmitCrashingRequests(const CrashingRequests& latest);
   void RefreshQuotas();
   void RefreshQuotaMembers();
+  void TickQuotas();
   bool WaitsForMembers() const;
   void RefreshSources();
   void RefreshStatus();
@@ -105,6 +106,7 @@
   std::unique_ptr<QuotaExchange> quotas_;  ///< Null while no team has a quota.
   std::unique_ptr<Timer> quota_timer_;
   SteadyTime next_quota_members_;
+  std::string quota_coordinator_;  ///< As last emitted.
   std::unique_ptr<Timer> timer_;
   std::unique_ptr<Timer> ack_timer_;
   std::map<std::string, MemberState> reported_states_;
--- a/src/libquetzal/distribution/node_distribution_core_quotas.cc
+++ b/src/libquetzal/distribution/node_distribution_core_quotas.cc
@@ -30,6 +30,7 @@
   if (!any) {
     quota_timer_.reset();
     quotas_.reset();
+    quota_coordinator_.clear();
     membership_link_->SetQuotaReceiver(nullptr);
     return;
   }
@@ -51,13 +52,20 @@
         dependencies_.executor->Every(QuotaExchange::kTick, [weak = weak_from_this()] {
           auto core = weak.lock();
           if (core == nullptr || core->stopped_ || core->quotas_ == nullptr) return;
-          core->quotas_->Tick();
+          core->TickQuotas();
         });
   }
   quotas_->SetLimits(limits);
   RefreshQuotaMembers();
 }
 
+void NodeDistribution::Core::TickQuotas() {
+  quotas_->Tick();
+  if (quotas_->coordinator() == quota_coordinator_) return;
+  quota_coordinator_ = quotas_->coordinator();
+  Emit("quota.coordinator", {{"peer", quota_coordinator_}});
+}
+
 void NodeDistribution::Core::RefreshQuotaMembers() {
   if (quotas_ == nullptr) return;
   const SteadyTime now = dependencies_.clock->Now();
--- a/tests/simulation/sim_fleet.h
+++ b/tests/simulation/sim_fleet.h
@@ -2,6 +2,7 @@
 #define QUETZAL_TESTS_SIMULATION_SIM_FLEET_H_
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -117,6 +118,7 @@
       node->former.push_back(former);
       if (node->announces_up) Announce(node, SERVER_UP);
     };
+    if (on_start) on_start(node, &dependencies);
     node->distribution =
         std::make_unique<NodeDistribution>(identity, settings, dependencies);
     parts->events.on_event = [this, node](const Event& event) {
@@ -169,6 +171,10 @@
     return true;
   }
 
+  /// Called before a node starts; may add dependencies. May be null.
+  std::function<void(Node* node, NodeDistribution::Dependencies* dependencies)> on_start;
+  std::vector<Team> teams;  ///< Of configurations confirmed from now on.
+
   Version LastVersion() const { return VersionAt(confirmed.size()); }
 
   static Version VersionAt(std::size_t n) {
@@ -354,6 +360,7 @@
     target->set_service(valid ? "desk" : "nowhere");
     target->set_weight(static_cast<std::uint32_t>(n));
     if (!valid) invalid_.insert(static_cast<std::size_t>(n));
+    for (const Team& team : teams) *configuration->add_teams() = team;
     return configuration;
   }
 
