Tests of quotas: steps of time were zero

Cause: a division of whole seconds gave a step of zero, so two tests never ended. Change: divide a Duration.

--- a/tests/quotas/quota_distribution_test.cc
+++ b/tests/quotas/quota_distribution_test.cc
@@ -39,7 +39,7 @@
   /// Admissions of all nodes in the given time, at `per_second` requests to each.
   int Admitted(const std::string& team, Duration span, int per_second) {
     int admitted = 0;
-    const Duration step = seconds(1) / per_second;
+    const Duration step = Duration(seconds(1)) / per_second;
     for (Duration done{}; done < span; done += step) {
       fleet_.world.Run(step);
       for (auto& [name, limiter] : limiters_) admitted += limiter->Admit(team) ? 0 : 1;
--- a/tests/quotas/team_limiter_test.cc
+++ b/tests/quotas/team_limiter_test.cc
@@ -35,7 +35,7 @@
   /// Requests admitted at a steady rate of attempts.
   int Admitted(const std::string& team, Duration span, int per_second) {
     int admitted = 0;
-    const Duration step = seconds(1) / per_second;
+    const Duration step = Duration(seconds(1)) / per_second;
     for (Duration done{}; done < span; done += step) {
       clock_.Advance(step);
       admitted += limiter_.Admit(team) ? 0 : 1;
