Calls: compare digests without a cast in the team index

Cause: clang-tidy takes the functional cast for a C-style one. Change: the comparison takes the string itself.

--- a/src/libquetzal/calls/team_index.cc
+++ b/src/libquetzal/calls/team_index.cc
@@ -29,9 +29,10 @@
 
 const Team* TeamIndex::Find(std::string_view credential) const {
   const std::string digest = CredentialDigest(credential);
-  const auto it = std::lower_bound(
-      entries_.begin(), entries_.end(), std::string_view(digest),
-      [](const Entry& entry, std::string_view wanted) { return entry.digest < wanted; });
+  const auto it = std::lower_bound(entries_.begin(), entries_.end(), digest,
+                                   [](const Entry& entry, const std::string& wanted) {
+                                     return entry.digest < wanted;
+                                   });
   return it == entries_.end() || it->digest != digest ? nullptr : it->team;
 }
 
