--- a/tests/quotas/quota_fleet.h
+++ b/tests/quotas/quota_fleet.h
@@ -75,6 +75,7 @@
   void Kill(std::size_t n) {
     nodes_[n].dead = true;
     nodes_[n].died = seconds();
+    refresh_at_ = seconds() + kDetectionSeconds;
   }
 
   /// The process does not run until then; datagrams wait in its socket.
@@ -160,6 +161,9 @@
     }
   };
 
+  static constexpr double kDetectionSeconds = 4;  ///< Until a death is known.
+  static constexpr double kNever = 1e9;
+
   static std::size_t StepAt(double seconds) {
     return static_cast<std::size_t>(
         seconds / std::chrono::duration<double>(kStep).count() + 0.5);
@@ -195,23 +199,18 @@
     std::vector<QuotaMember> members;
     std::vector<QuotaMember> alive;
     for (const Node& node : nodes_) {
-      // Failure detection takes four seconds.
-      const bool lives = !node.dead || seconds() - node.died < 4;
+      const bool lives = !node.dead || seconds() - node.died < kDetectionSeconds;
       members.push_back({node.name, node.data_centre, node.name, lives});
     }
     for (Node& node : nodes_) {
       if (!node.dead) node.exchange->SetMembers(members, true);
     }
     members_changed_ = false;
+    refresh_at_ = kNever;
   }
 
   void Step() {
-    if (seconds() >= next_refresh_ || members_changed_) {
-      next_refresh_ = seconds() + 1;
-      bool dead = false;
-      for (const Node& node : nodes_) dead = dead || node.dead;
-      if (dead || members_changed_) RefreshMembers();
-    }
+    if (members_changed_ || seconds() >= refresh_at_) RefreshMembers();
     clock_.Advance(kStep);
     Deliver();
     for (Node& node : nodes_) {
@@ -269,7 +268,7 @@
   std::priority_queue<Datagram, std::vector<Datagram>, std::greater<>> queue_;
   std::function<int(std::size_t)> side_;
   double loss_ = 0;
-  double next_refresh_ = 0;
+  double refresh_at_ = kNever;
   bool members_changed_ = true;
   std::uint64_t incarnations_ = 0;
   std::uint64_t datagram_number_ = 0;
--- a/tests/quotas/quota_simulation_test.cc
+++ b/tests/quotas/quota_simulation_test.cc
@@ -101,8 +101,8 @@
     if (factor > 1) {
       double settled = 15;
       while (settled < 24 &&
-             static_cast<double>(fleet.Between(0, settled, settled + 0.5).admitted) <
-                 0.8 * 0.5 * loads[0].limit.per_second) {
+             static_cast<double>(fleet.Between(0, settled, settled + 0.2).admitted) <
+                 0.8 * 0.2 * loads[0].limit.per_second) {
         settled += 0.05;
       }
       std::printf("large team has 80%% of its rate %.2f s after it moved\n",
