Calls: a full service is asked less, and refuses where requests arrive

Cause: at a full service each request asked four servers for a free slot before it was queued or refused, which costs both nodes work when they have least to spare; a caller that came back asked four again.

Change: a node keeps the waits that full servers stated until they run out, by priority. When every server that is up stated one that a request cannot bear, the request is refused at once; one in 50 ms asks all the same, and a server with a free slot ends it. While less than 15% of the probes of the last second found a slot, two servers are asked instead of four. Nested calls are never refused in this way.

--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -3,7 +3,8 @@
 // simulated backend servers that call each other. Callers that are refused come back
 // after the stated time. Prints a table and one line of JSON. Fails if a request did not
 // end exactly once or a slot stayed taken. Options: --smallest runs a few seconds of
-// simulated time; --nested-as-new treats calls of servers like new requests.
+// simulated time; --nested-as-new treats calls of servers like new requests; --ask-always
+// probes four servers for each request.
 
 #include <algorithm>
 #include <cstdio>
@@ -19,8 +20,12 @@
 
 using std::chrono::milliseconds;
 
-OverloadModel::OverloadModel(Scenario scenario, Duration length, bool marks_nested)
-    : scenario_(std::move(scenario)), length_(length), marks_nested_(marks_nested) {
+OverloadModel::OverloadModel(Scenario scenario, Duration length, bool marks_nested,
+                             bool knows_waits)
+    : scenario_(std::move(scenario)),
+      length_(length),
+      marks_nested_(marks_nested),
+      knows_waits_(knows_waits) {
   for (std::size_t n = 0; n < kServers; ++n) {
     BackendTarget target;
     target.instance = "node-" + std::to_string(n);
@@ -115,18 +120,41 @@
   Attempt(call);
 }
 
-void OverloadModel::Attempt(const CallPtr& call) {
-  if (call->ended) return;
-  Node& node = nodes_[call->node];
+const BackendTarget* OverloadModel::Choose(const CallPtr& call) {
   ChoiceOptions options;
   options.data_centre = "dc-" + std::to_string(call->node % kDataCentres);
   options.load_policy = "two_choices";
   options.tried = call->tried;
-  const BackendTarget* target = nullptr;
-  call->probes = call->probes && call->full.size() < kMaxProbes;
-  if (call->probes || call->full.empty()) {
-    target = node.loads->Choose(by_service_.at(call->service), options);
+  return nodes_[call->node].loads->Choose(by_service_.at(call->service), options);
+}
+
+/// As CallerCall::IsKnownUnservable.
+bool OverloadModel::IsKnownUnservable(const CallPtr& call) {
+  KnownWaits& waits = nodes_[call->node].waits;
+  const bool nested = marks_nested_ && call->kind == kNested;
+  if (call->attempts > 0 || nested || !knows_waits_) return false;
+  const SteadyTime now = clock_.Now();
+  const Duration bearable =
+      std::max(Duration::zero(), Duration(call->node_objective - now));
+  for (const BackendTarget* target : by_service_.at(call->service)) {
+    const Duration wait =
+        waits.Remaining(target->instance, kKinds.at(call->kind).priority, now);
+    if (wait <= bearable) return false;
   }
+  return !waits.TakeProbe(std::to_string(call->service), now);
+}
+
+void OverloadModel::Attempt(const CallPtr& call) {
+  if (call->ended) return;
+  Node& node = nodes_[call->node];
+  const BackendTarget* target = nullptr;
+  if (call->probes && IsKnownUnservable(call))
+    return GiveUp(call, call->node_objective - clock_.Now());
+  const std::string& target_service = by_service_.at(call->service).front()->service;
+  call->probes = call->probes &&
+                 call->full.size() <
+                     (knows_waits_ ? node.probes.Limit(target_service, clock_.Now()) : 4);
+  if (call->probes || call->full.empty()) target = Choose(call);
   if (target != nullptr) return Send(call, *target);
   call->probes = false;
   if (call->full.empty()) return GiveUp(call, Duration::zero());
@@ -139,11 +167,13 @@
   const SteadyTime latest = nested ? call->deadline : call->node_objective;
   if (clock_.Now() + full.second > latest) return GiveUp(call, full.second);
   node.loads->Begin(targets_[full.first]);
+  node.waits.Forget(targets_[full.first].instance);
   Send(call, targets_[full.first]);
 }
 
 void OverloadModel::Send(const CallPtr& call, const BackendTarget& target) {
   ++call->attempts;
+  ++messages_;
   call->tried.push_back(target.instance);
   call->server = &target - targets_.data();
   After(Delay(call->node, call->server), [this, call] {
@@ -182,20 +212,32 @@
     }
     const LoadReport report = servers_[server].admission.load(clock_.Now());
     After(Delay(call->node, server), [this, call, server, decision, report] {
-      nodes_[call->node].loads->Report(targets_[server], report);
+      Report(call->node, server, report);
       nodes_[call->node].loads->End(targets_[server], AttemptEnd::kRefusedByNode);
       if (!call->ended) Refused(call, decision.code, decision.retry_after);
     });
   }
 }
 
+void OverloadModel::Report(std::size_t node, std::size_t server,
+                           const LoadReport& report) {
+  nodes_[node].loads->Report(targets_[server], report);
+  if (report.outstanding < report.slots) {
+    nodes_[node].waits.Forget(targets_[server].instance);
+  }
+}
+
 void OverloadModel::Serve(const CallPtr& call) {
   call->runs = true;
   call->sent_at = clock_.Now();
   const auto finish = [this, call] {
+    if (call->probes) {
+      nodes_[call->node].probes.Record(targets_[call->server].service, true,
+                                       clock_.Now());
+    }
     Release(call, clock_.Now() - call->sent_at);
     const LoadReport report = servers_[call->server].admission.load(clock_.Now());
-    nodes_[call->node].loads->Report(targets_[call->server], report);
+    Report(call->node, call->server, report);
     Count& count = counts_.at(call->kind);
     ++(clock_.Now() <= call->objective ? count.in_time : count.late);
     End(call, true);
@@ -242,6 +284,12 @@
 void OverloadModel::Refused(const CallPtr& call, ResultCode code, Duration retry_after) {
   if (call->probes && code == ResultCode::kServerFull) {
     call->full.emplace_back(call->server, retry_after);
+    nodes_[call->node].probes.Record(targets_[call->server].service, false, clock_.Now());
+    if (call->kind != kNested) {
+      nodes_[call->node].waits.Record(targets_[call->server].instance,
+                                      kKinds.at(call->kind).priority, retry_after,
+                                      clock_.Now());
+    }
     return Attempt(call);
   }
   if (call->attempts < kMaxAttempts && nodes_[call->node].budget->Spend("")) {
@@ -295,6 +343,12 @@
   });
 }
 
+double OverloadModel::Messages() const {
+  std::uint64_t offered = 0;
+  for (std::size_t kind = 0; kind < kNested; ++kind) offered += counts_.at(kind).offered;
+  return static_cast<double>(messages_) / static_cast<double>(offered);
+}
+
 double OverloadModel::Value() const {
   double value = 0;
   for (std::size_t kind = 0; kind < kNested; ++kind) {
@@ -326,7 +380,7 @@
 
 namespace {
 
-bool RunAll(Duration length, bool marks_nested) {
+bool RunAll(Duration length, bool marks_nested, bool knows_waits) {
   const std::vector<Scenario> scenarios = {{"usual load", {1, 1, 1}},
                                            {"burst 1.7", {1.7, 1.7, 1.7}},
                                            {"burst 2.6", {2.6, 2.6, 2.6}},
@@ -339,14 +393,16 @@
   std::printf("%-17s %-8s %8s %8s %7s %8s %7s\n", "scenario", "kind", "offered",
               "in time", "late", "refused", "lost");
   for (const Scenario& scenario : scenarios) {
-    OverloadModel model(scenario, length, marks_nested);
+    OverloadModel model(scenario, length, marks_nested, knows_waits);
     model.Run();
     if (!model.EndedOnce()) {
       std::fprintf(stderr, "a request did not end once: %s\n", scenario.name.c_str());
       all_ended_once = false;
     }
     const double share = model.Value() / model.MaxValue();
-    nlohmann::ordered_json row = {{"scenario", scenario.name}, {"value_share", share}};
+    nlohmann::ordered_json row = {{"scenario", scenario.name},
+                                  {"value_share", share},
+                                  {"messages", model.Messages()}};
     for (std::size_t kind = 0; kind < kKinds.size(); ++kind) {
       const Count& count = model.counts().at(kind);
       const double all = static_cast<double>(count.offered) / 100;
@@ -362,8 +418,8 @@
                                    {"refused", count.refused},
                                    {"lost", count.lost}};
     }
-    std::printf("%-17s value: %.1f%% of the maximum\n", scenario.name.c_str(),
-                share * 100);
+    std::printf("%-17s value: %.1f%% of the maximum; %.2f messages per request\n",
+                scenario.name.c_str(), share * 100, model.Messages());
     rows.push_back(row);
   }
   std::printf("%s\n", rows.dump().c_str());
@@ -376,16 +432,21 @@
 int main(int argc, char** argv) {
   bool smallest = false;
   bool marks_nested = true;
+  bool knows_waits = true;
   for (int n = 1; n < argc; ++n) {
     if (std::strcmp(argv[n], "--smallest") == 0) {
       smallest = true;
     } else if (std::strcmp(argv[n], "--nested-as-new") == 0) {
       marks_nested = false;
+    } else if (std::strcmp(argv[n], "--ask-always") == 0) {
+      knows_waits = false;
     } else {
-      std::fprintf(stderr, "usage: overload_bench [--smallest] [--nested-as-new]\n");
+      std::fprintf(
+          stderr,
+          "usage: overload_bench [--smallest] [--nested-as-new] [--ask-always]\n");
       return 2;
     }
   }
   const auto length = std::chrono::seconds(smallest ? 6 : 40);
-  return quetzal::RunAll(length, marks_nested) ? 0 : 1;
+  return quetzal::RunAll(length, marks_nested, knows_waits) ? 0 : 1;
 }
--- a/bench/overload_model.h
+++ b/bench/overload_model.h
@@ -15,9 +15,11 @@
 
 #include "calls/admission_control.h"
 #include "calls/caller_timeout_estimator.h"
+#include "calls/known_waits.h"
 #include "calls/load_table.h"
 #include "calls/refusal_rates.h"
 #include "calls/retry_budgets.h"
+#include "calls/slot_probes.h"
 
 namespace quetzal {
 
@@ -25,7 +27,6 @@
 inline constexpr std::size_t kServices = 3;
 inline constexpr std::size_t kDataCentres = 3;
 inline constexpr std::uint32_t kSlots = 12;
-inline constexpr std::size_t kMaxProbes = 4;
 inline constexpr std::size_t kMaxAttempts = 8;
 inline constexpr std::uint32_t kRetryPercent = 20;
 inline constexpr double kUsualLoad = 0.8;
@@ -83,10 +84,12 @@
 /// Queueing model of three services. Tasks run in order of their simulated time.
 class OverloadModel {
  public:
-  OverloadModel(Scenario scenario, Duration length, bool marks_nested);
+  OverloadModel(Scenario scenario, Duration length, bool marks_nested, bool knows_waits);
 
   void Run();
   bool EndedOnce() const;
+  /// Messages from coordinating to admitting nodes for each new request.
+  double Messages() const;
   double Value() const;
   /// Value if the slots always ran the most valuable work of those who want it then.
   double MaxValue() const;
@@ -125,6 +128,8 @@
     std::unique_ptr<Random> random;
     std::unique_ptr<LoadTable> loads;
     RefusalRates rates;
+    KnownWaits waits;
+    SlotProbes probes;
     CallerTimeoutEstimator timeouts;
     std::unique_ptr<RetryBudgets> budget = std::make_unique<RetryBudgets>(0, 0);
   };
@@ -157,9 +162,12 @@
                    Duration deadline);
   void Accept(const CallPtr& call);
   void Attempt(const CallPtr& call);
+  const BackendTarget* Choose(const CallPtr& call);
+  bool IsKnownUnservable(const CallPtr& call);
   void Send(const CallPtr& call, const BackendTarget& target);
   void Offer(const CallPtr& call);
   void Apply(std::size_t server, const AdmissionControl::Decisions& decisions);
+  void Report(std::size_t node, std::size_t server, const LoadReport& report);
   void Serve(const CallPtr& call);
   void ServeHalf(const CallPtr& call, std::function<void()> done);
   void Release(const CallPtr& call, Duration service_time);
@@ -170,6 +178,7 @@
   const Scenario scenario_;
   const Duration length_;
   const bool marks_nested_;
+  const bool knows_waits_;
   ManualClock clock_;
   const SteadyTime start_ = clock_.Now();
   Random random_{20261204};
@@ -182,6 +191,7 @@
   std::vector<Server> servers_ = std::vector<Server>(kServers);
   std::vector<Node> nodes_ = std::vector<Node>(kServers);
   std::array<Count, 4> counts_{};
+  std::uint64_t messages_ = 0;
 };
 
 }  // namespace quetzal
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -15,11 +15,13 @@
 #include "calls/caller_timeout_estimator.h"
 #include "calls/drain_gate.h"
 #include "calls/finished_requests.h"
+#include "calls/known_waits.h"
 #include "calls/load_table.h"
 #include "calls/local_stream.h"
 #include "calls/refusal_rates.h"
 #include "calls/retry_budgets.h"
 #include "calls/route_matcher.h"
+#include "calls/slot_probes.h"
 
 namespace quetzal {
 
@@ -61,6 +63,8 @@
   LoadTable loads;
   RetryBudgets budgets;
   RefusalRates refusal_rates;
+  KnownWaits known_waits;
+  SlotProbes slot_probes;
   CallerTimeoutEstimator caller_timeouts;
   AttemptTable attempts;
   FinishedRequests finished_requests;
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -66,6 +66,7 @@
   bool HasUntriedInstance();
   std::optional<BackendTarget> NextTarget();
   std::optional<BackendTarget> ChooseTarget();
+  bool IsKnownUnservable();
   std::optional<BackendTarget> ChooseShortestWait();
   void OpenAttempt();
   CallHead MakeHead() const;
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -10,9 +10,6 @@
 
 constexpr int kMaxAttempts = 4;
 
-/// Instances that are probed for a free slot before the request queues at one of them.
-constexpr std::size_t kMaxSlotProbes = 4;
-
 /// Limit of all attempts when instances are probed for a free slot.
 constexpr int kMaxAttemptsWithProbes = 8;
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
@@ -128,14 +125,35 @@
 /// instance with the shortest wait.
 std::optional<BackendTarget> CallerCall::NextTarget() {
   if (!requires_free_slot_) return full_.empty() ? ChooseTarget() : ChooseShortestWait();
-  if (full_.size() < kMaxSlotProbes) {
+  const std::size_t probes = context_->slot_probes.Limit(service_, context_->Now());
+  if (full_.size() < probes && !IsKnownUnservable()) {
     if (auto target = ChooseTarget()) return target;
   }
   requires_free_slot_ = false;
   return full_.empty() ? std::nullopt : ChooseShortestWait();
 }
 
-/// Null when no probed instance can answer in time.
+/// True when all servers stated waits to earlier requests that this one cannot bear. A
+/// few requests ask all the same.
+bool CallerCall::IsKnownUnservable() {
+  const auto matcher = RefreshRoute();
+  if (!matcher || nested_ || attempts_ > 0) return false;
+  const SteadyTime now = context_->Now();
+  const Duration bearable = std::max(Duration::zero(), Duration(Objective() - now));
+  std::vector<FullInstance> full;
+  for (const BackendTarget* target : matcher->Targets(service_)) {
+    if (target->state != SERVER_UP) continue;
+    const Duration wait =
+        context_->known_waits.Remaining(target->instance, route_->priority(), now);
+    if (wait <= bearable) return false;
+    full.push_back({target->instance, wait});
+  }
+  if (full.empty() || context_->known_waits.TakeProbe(service_, now)) return false;
+  full_ = std::move(full);
+  return true;
+}
+
+/// Null when no instance that is known to be full can answer in time.
 std::optional<BackendTarget> CallerCall::ChooseShortestWait() {
   const auto matcher = RefreshRoute();
   const auto shortest =
@@ -150,6 +168,8 @@
   for (const BackendTarget* target : matcher->Targets(service_)) {
     if (target->instance != full.instance || target->state != SERVER_UP) continue;
     context_->loads.Begin(*target);
+    // Its queue becomes longer than it stated.
+    context_->known_waits.Forget(target->instance);
     return *target;
   }
   return std::nullopt;
@@ -260,11 +280,19 @@
 }
 
 void CallerCall::OnAnswerHeaders(const StreamHeaders& headers) {
-  if (const auto load = DecodeLoad(headers)) context_->loads.Report(*target_, *load);
+  if (const auto load = DecodeLoad(headers)) {
+    context_->loads.Report(*target_, *load);
+    if (load->outstanding < load->slots) {
+      context_->known_waits.Forget(target_->instance);
+    }
+  }
   if (IsInterimStatus(HeaderValue(headers, ":status"))) return OnInterimAnswer(headers);
   if (const auto refusal = DecodeRefusal(headers)) return OnAttemptRefused(*refusal);
   context_->loads.RecordRateLimit(*target_,
                                   context_->dialect().ReadAnswer(headers).rate_limit);
+  if (requires_free_slot_) {
+    context_->slot_probes.Record(service_, true, context_->Now());
+  }
   phase_ = Phase::kAnswer;
   answer_.Begin(headers, method_, guard_ != nullptr);
 }
@@ -342,6 +370,12 @@
   if (requires_free_slot_ && refusal.code == ResultCode::kServerFull &&
       !refusal.reached_server && body_.replayable()) {
     full_.push_back({tried_.back(), refusal.retry_after});
+    context_->slot_probes.Record(service_, false, context_->Now());
+    // Nested calls wait before fewer requests than others.
+    if (!nested_) {
+      context_->known_waits.Record(tried_.back(), route_->priority(), refusal.retry_after,
+                                   context_->Now());
+    }
     return StartNextAttempt();
   }
   if (!guard_) return RetryOrRefuse(refusal);
