Calls: refused callers come back spread over time

Cause: callers that were refused in the same moment of an overload got the same retry time and came back together.

Change: the part of the retry time that stands for the overload is spread uniformly between half and one and a half times its mean. The stated wait for a slot is not spread.

--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -304,7 +304,7 @@
   const SteadyTime now = clock_.Now();
   const std::string& service = by_service_.at(call->service).front()->service;
   node.rates.Record(service, true, now);
-  const Duration delay = node.rates.RetryAfter(service, wait, now);
+  const Duration delay = node.rates.RetryAfter(service, wait, now, random_.Unit());
   if (now + delay + kKinds[call->kind].work < call->deadline && call->kind != kNested) {
     return After(delay, [this, call] { Accept(call); });
   }
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -283,8 +283,8 @@
   if (IsCapacityRefusal(refusal.code)) {
     const SteadyTime now = context_->Now();
     context_->refusal_rates.Record(service_, true, now);
-    adjusted.retry_after =
-        context_->refusal_rates.RetryAfter(service_, refusal.retry_after, now);
+    adjusted.retry_after = context_->refusal_rates.RetryAfter(
+        service_, refusal.retry_after, now, context_->RandomUnit());
   }
   answer_.SendRefusal(adjusted, context_->drain.draining());
   if (guard_) EmitOutcome(refusal.code);
--- a/src/libquetzal/calls/refusal_rates.cc
+++ b/src/libquetzal/calls/refusal_rates.cc
@@ -31,7 +31,7 @@
 }
 
 Duration RefusalRates::RetryAfter(const std::string& service, Duration wait,
-                                  SteadyTime now) const {
+                                  SteadyTime now, double unit) const {
   double refused = 0;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -42,7 +42,8 @@
       refused = rate.refused / (rate.all + kSmoothingRequests);
     }
   }
-  const auto delay = std::chrono::duration_cast<Duration>(kOverloadDelay * refused);
+  const auto delay =
+      std::chrono::duration_cast<Duration>(kOverloadDelay * refused * (0.5 + unit));
   return std::clamp(wait + delay, kMinRetryAfter, kMaxRetryAfter);
 }
 
--- a/src/libquetzal/calls/refusal_rates.h
+++ b/src/libquetzal/calls/refusal_rates.h
@@ -16,8 +16,11 @@
   void Record(const std::string& service, bool refused, SteadyTime now);
 
   /// Retry delay for a caller whose request would have waited for `wait`. It grows with
-  /// the share of refused requests, since most retries are then refused again.
-  Duration RetryAfter(const std::string& service, Duration wait, SteadyTime now) const;
+  /// the share of refused requests, since most retries are then refused again. `unit` is
+  /// uniform in [0, 1) and spreads the callers that are refused together; 0.5 gives the
+  /// mean.
+  Duration RetryAfter(const std::string& service, Duration wait, SteadyTime now,
+                      double unit = 0.5) const;
 
  private:
   struct Rate {
