--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -9,11 +9,12 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "overload_model.h"
 
 namespace quetzal {
