--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -15,12 +15,14 @@
 #include "calls/caller_timeout_estimator.h"
 #include "calls/drain_gate.h"
 #include "calls/finished_requests.h"
+#include "calls/known_waits.h"
 #include "calls/load_table.h"
 #include "calls/local_stream.h"
 #include "calls/refusal_rates.h"
 #include "calls/retry_budgets.h"
 #include "calls/rollout_router.h"
 #include "calls/route_matcher.h"
+#include "calls/slot_probes.h"
 #include "calls/version_counters.h"
 
 namespace quetzal {
@@ -65,6 +67,8 @@
   RefusalRates refusal_rates;
   RolloutRouter rollouts;
   VersionCounters version_counters;
+  KnownWaits known_waits;
+  SlotProbes slot_probes;
   CallerTimeoutEstimator caller_timeouts;
   AttemptTable attempts;
   FinishedRequests finished_requests;
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -73,6 +73,7 @@
   bool HasUntriedInstance();
   std::optional<BackendTarget> NextTarget();
   std::optional<BackendTarget> ChooseTarget();
+  bool IsKnownUnservable();
   std::optional<BackendTarget> ChooseShortestWait();
   void OpenAttempt();
   CallHead MakeHead() const;
@@ -171,6 +172,8 @@
   SteadyTime Objective() const {
     return started_ - elapsed_before_ + std::chrono::milliseconds(route_->objective_ms());
   }
+  std::uint32_t Priority() const { return team_priority_.value_or(route_->priority()); }
+
   /// Latest time at which it is still worth to wait for a slot. The run that a nested
   /// call belongs to is lost without it, so that its answer counts until the deadline.
   SteadyTime LatestUsefulAnswer() const { return nested_ ? deadline_ : Objective(); }
