Node: not ready while credentials are not proved

Cause: a node that has just started refused requests with a credential until the first answer of a control instance, although it said that it was ready. Change: readiness waits for that proof, so that callers are sent elsewhere.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -247,7 +247,8 @@
       name, ServerInterfaceDependencies{
                 backend_monitor_.get(), settings.Text("service"), [this] {
                   const NodeDistribution::Status status = distribution_->status();
-                  return !stop_requested_ && status.serving && status.joined;
+                  return !stop_requested_ && status.serving && status.joined &&
+                         distribution_->routing().credentials_proved();
                 }});
   if (!settings.Text("heartbeats").empty()) {
     heartbeat_server_ = AdminServerRegistry::Instance().Create("cpprest");
