--- a/tests/node/node_process_test.cc
+++ b/tests/node/node_process_test.cc
@@ -133,6 +133,7 @@
   EXPECT_NE(Ask(admin, "GET /v1/status").find("\"serving\":false"), std::string::npos);
   EXPECT_NE(Ask(admin, "GET /v1/crashing-requests").find("\"crashing_requests\":[]"),
             std::string::npos);
+  EXPECT_NE(Ask(admin, "GET /v1/quotas").find("\"teams\":[]"), std::string::npos);
   EXPECT_NE(Ask(admin, "DELETE /v1/crashing-requests/000000000000000a").find("404"),
             std::string::npos);
   EXPECT_NE(Ask(admin, "GET /metrics").find("quetzal_calls_refused_total 0"),
--- a/tests/quotas/quota_fleet.h
+++ b/tests/quotas/quota_fleet.h
@@ -2,6 +2,7 @@
 #define QUETZAL_TESTS_QUOTAS_QUOTA_FLEET_H_
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -166,7 +167,7 @@
 
   static std::size_t StepAt(double seconds) {
     return static_cast<std::size_t>(
-        seconds / std::chrono::duration<double>(kStep).count() + 0.5);
+        std::lround(seconds / std::chrono::duration<double>(kStep).count()));
   }
 
   Duration Elapsed() const { return clock_.Now() - start_; }
