Calls: casts as lint wants them

Cause: scripts/lint refused three functional casts.

Change: std::max names its type.

Result: calls_test passes; lint had no other finding in the changed files.

--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -136,7 +136,7 @@
   if (call->attempts > 0 || nested || !knows_waits_) return false;
   const SteadyTime now = clock_.Now();
   const Duration bearable =
-      std::max(Duration::zero(), Duration(call->node_objective - now));
+      std::max<Duration>(Duration::zero(), call->node_objective - now);
   for (const BackendTarget* target : by_service_.at(call->service)) {
     const Duration wait =
         waits.Remaining(target->instance, kKinds.at(call->kind).priority, now);
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -139,7 +139,7 @@
   const auto matcher = RefreshRoute();
   if (!matcher || nested_ || attempts_ > 0) return false;
   const SteadyTime now = context_->Now();
-  const Duration bearable = std::max(Duration::zero(), Duration(Objective() - now));
+  const Duration bearable = std::max<Duration>(Duration::zero(), Objective() - now);
   std::vector<FullInstance> full;
   for (const BackendTarget* target : matcher->Targets(service_)) {
     if (target->state != SERVER_UP) continue;
--- a/src/libquetzal/calls/known_waits.cc
+++ b/src/libquetzal/calls/known_waits.cc
@@ -36,7 +36,7 @@
   const auto last = std::min<std::size_t>(priority, kPriorities - 1);
   SteadyTime until;
   for (std::size_t n = 0; n <= last; ++n) until = std::max(until, it->second.at(n));
-  return std::max(Duration::zero(), Duration(until - now));
+  return std::max<Duration>(Duration::zero(), until - now);
 }
 
 bool KnownWaits::TakeProbe(const std::string& service, SteadyTime now) {
