--- a/tests/calls/known_waits_test.cc
+++ b/tests/calls/known_waits_test.cc
@@ -102,8 +102,10 @@
 
 // The run above a nested call is lost with it, so that it is queued even if it is late.
 TEST_F(FullServiceTest, NestedCallsAreNotRefused) {
-  const auto received = cluster_.Send(0, "GET", "/reports/1", "", "nested",
-                                      {{":remote-address", "10.0.1.1"}});
+  cluster_.configuration.add_teams()->set_name("rioja");
+  for (Route& route : *cluster_.configuration.mutable_routes()) route.set_is_public(true);
+  cluster_.Distribute();
+  const auto received = cluster_.GetReport(0, "nested");
   cluster_.Run(seconds(1));
   EXPECT_TRUE(received->has_server_answer()) << received->body;
 }
--- a/tests/calls/sim_cluster.h
+++ b/tests/calls/sim_cluster.h
@@ -128,6 +128,7 @@
   std::shared_ptr<const RoutingSnapshot> snapshot() const override {
     return stuck ? stuck : shared_->current;
   }
+  bool credentials_proved() const override { return shared_->proved; }
   std::shared_ptr<const RoutingSnapshot> stuck;  ///< Null: follows the cluster.
 
  private:
--- a/tests/distribution/version_reports_test.cc
+++ b/tests/distribution/version_reports_test.cc
@@ -29,6 +29,7 @@
     rollout.set_service("desk");
     rollout.set_version("v2");
     rollout.set_state(state);
+    rollout.set_duration_ms(12'000);
     rollout.mutable_started()->set_term(1);
     rollout.mutable_started()->set_index(started);
     fleet_.rollouts = {rollout};
