--- a/src/libquetzal/configuration/intent_file.cc
+++ b/src/libquetzal/configuration/intent_file.cc
@@ -230,8 +230,7 @@
   const JsonCursor root(source, &document);
   root.ExpectObject({"version", "description", "data_centres", "services", "routes",
                      "teams", "policy", "leave", "enter", "remove",
-                     "add_control_instance", "remove_control_instance",
-                     "rollout"});
+                     "add_control_instance", "remove_control_instance", "rollout"});
   root.At("version").Integer(kIntentFormatVersion, kIntentFormatVersion);
 
   IntentContent content;
--- a/src/node/node_admin.h
+++ b/src/node/node_admin.h
@@ -26,7 +26,7 @@
   std::uint64_t crashes = 0;  ///< Of the backend server while requests ran on it.
   std::shared_ptr<const CrashingRequests> crashing;  ///< Null when none are known.
   CallCounts calls;
-  std::vector<TeamCount> teams;  ///< Of all teams with or without a quota, by name.
+  std::vector<TeamCount> teams;    ///< Of all teams with or without a quota, by name.
   bool credentials_proved = true;  ///< See CredentialLease.
   std::size_t key_records = 0;
   std::size_t key_bytes = 0;
--- a/tests/simulation/sim_fleet.h
+++ b/tests/simulation/sim_fleet.h
@@ -282,7 +282,7 @@
   std::vector<Node> nodes;
   std::vector<Control> controls;
   std::vector<std::shared_ptr<const Configuration>> confirmed;
-  std::vector<Rollout> rollouts;        ///< Of the next confirmed configuration.
+  std::vector<Rollout> rollouts;         ///< Of the next confirmed configuration.
   std::vector<SteadyTime> confirmed_at;  ///< Same positions as `confirmed`.
   std::vector<std::string> violations;   ///< Violated invariants, up to 20.
   std::map<std::string, int> events;     ///< Number of events of the nodes, by name.
