Tests: two test files name the source that they test

Cause: nothing pointed from these tests to earliest_completion_selector and node_distribution_core_quotas. Change: a comment line in each, no assertion.

--- a/tests/calls/earliest_completion_test.cc
+++ b/tests/calls/earliest_completion_test.cc
@@ -1,3 +1,5 @@
+// Tests earliest_completion_selector.
+//
 // Load: servers of one service that differ in speed. Requests with a short objective are
 // answered in time by the fast ones only.
 #include <map>
--- a/tests/quotas/quota_distribution_test.cc
+++ b/tests/quotas/quota_distribution_test.cc
@@ -1,3 +1,5 @@
+// Tests node_distribution_core_quotas.
+//
 // Quotas in a fleet of real NodeDistributions on simulated sockets: guards the wiring
 // between configuration, membership, datagrams and limiter.
 
