--- a/bench/overload_bench.cc
+++ b/bench/overload_bench.cc
@@ -4,7 +4,7 @@
 // after the stated time. Prints a table and one line of JSON. Fails if a request did not
 // end exactly once or a slot stayed taken. Options: --smallest runs a few seconds of
 // simulated time; --nested-as-new treats calls of servers like new requests; --ask-always
-// probes four servers for each request.
+// probes four servers for each request; --load-policy names the choice of a server.
 
 #include <algorithm>
 #include <cstdio>
@@ -21,9 +21,10 @@
 
 using std::chrono::milliseconds;
 
-OverloadModel::OverloadModel(Scenario scenario, Duration length, bool marks_nested,
-                             bool knows_waits)
+OverloadModel::OverloadModel(Scenario scenario, std::string load_policy, Duration length,
+                             bool marks_nested, bool knows_waits)
     : scenario_(std::move(scenario)),
+      load_policy_(std::move(load_policy)),
       length_(length),
       marks_nested_(marks_nested),
       knows_waits_(knows_waits) {
@@ -40,6 +41,7 @@
     limits.state = SERVER_UP;
     limits.slots = kSlots;
     servers_[n].admission.SetLimits(limits, clock_.Now());
+    if (scenario_.uneven) servers_[n].speed = kUnevenFactors.at(n / 9 % 3);
     nodes_[n].random = std::make_unique<Random>(n);
     nodes_[n].loads = std::make_unique<LoadTable>(&clock_, nodes_[n].random.get());
   }
@@ -124,7 +126,7 @@
 const BackendTarget* OverloadModel::Choose(const CallPtr& call) {
   ChoiceOptions options;
   options.data_centre = "dc-" + std::to_string(call->node % kDataCentres);
-  options.load_policy = "two_choices";
+  options.load_policy = load_policy_;
   options.tried = call->tried;
   return nodes_[call->node].loads->Choose(by_service_.at(call->service), options);
 }
@@ -267,7 +269,8 @@
 /// Half of the work is constant, the other half is exponentially distributed.
 void OverloadModel::ServeHalf(const CallPtr& call, std::function<void()> done) {
   const Duration mean = std::chrono::duration_cast<Duration>(
-      servers_[call->server].factor * kKinds[call->kind].work / 2);
+      servers_[call->server].factor * servers_[call->server].speed *
+      kKinds[call->kind].work / 2);
   After(mean / 2 + Exponential(mean / 2), [call, done = std::move(done)] {
     if (!call->ended) done();
   });
@@ -366,7 +369,8 @@
     const double time = Seconds(length_) * (burst ? share : 1 - share);
     double slots = 0;
     for (std::size_t n = 0; n < servers_.size(); ++n)
-      slots += kSlots / (burst && n % 6 == 0 ? scenario_.slow_factor : 1);
+      slots +=
+          kSlots / servers_[n].speed / (burst && n % 6 == 0 ? scenario_.slow_factor : 1);
     double left = slots * time;
     // In the order of value per slot time.
     for (std::size_t kind = 0; kind < kNested; ++kind) {
@@ -381,20 +385,24 @@
 
 namespace {
 
-bool RunAll(Duration length, bool marks_nested, bool knows_waits) {
-  const std::vector<Scenario> scenarios = {{"usual load", {1, 1, 1}},
-                                           {"burst 1.7", {1.7, 1.7, 1.7}},
-                                           {"burst 2.6", {2.6, 2.6, 2.6}},
-                                           {"burst of patient", {1, 1, 5}},
-                                           {"burst of urgent", {2.6, 1, 1}},
-                                           {"slow servers", {1, 1, 1}, 5},
-                                           {"slow and burst", {1.7, 1.7, 1.7}, 5}};
+bool RunAll(const std::string& load_policy, Duration length, bool marks_nested,
+            bool knows_waits) {
+  const std::vector<Scenario> scenarios = {
+      {"usual load", {1, 1, 1}},
+      {"burst 1.7", {1.7, 1.7, 1.7}},
+      {"burst 2.6", {2.6, 2.6, 2.6}},
+      {"burst of patient", {1, 1, 5}},
+      {"burst of urgent", {2.6, 1, 1}},
+      {"slow servers", {1, 1, 1}, 5},
+      {"slow and burst", {1.7, 1.7, 1.7}, 5},
+      {"uneven", {1, 1, 1}, 1, true},
+      {"uneven and burst", {1.7, 1.7, 1.7}, 1, true}};
   bool all_ended_once = true;
   nlohmann::ordered_json rows = nlohmann::ordered_json::array();
   std::printf("%-17s %-8s %8s %8s %7s %8s %7s\n", "scenario", "kind", "offered",
               "in time", "late", "refused", "lost");
   for (const Scenario& scenario : scenarios) {
-    OverloadModel model(scenario, length, marks_nested, knows_waits);
+    OverloadModel model(scenario, load_policy, length, marks_nested, knows_waits);
     model.Run();
     if (!model.EndedOnce()) {
       std::fprintf(stderr, "a request did not end once: %s\n", scenario.name.c_str());
@@ -434,6 +442,7 @@
   bool smallest = false;
   bool marks_nested = true;
   bool knows_waits = true;
+  std::string load_policy = quetzal::kDefaultLoadPolicy;
   for (int n = 1; n < argc; ++n) {
     if (std::strcmp(argv[n], "--smallest") == 0) {
       smallest = true;
@@ -441,13 +450,15 @@
       marks_nested = false;
     } else if (std::strcmp(argv[n], "--ask-always") == 0) {
       knows_waits = false;
+    } else if (std::strcmp(argv[n], "--load-policy") == 0 && n + 1 < argc) {
+      load_policy = argv[++n];
     } else {
-      std::fprintf(
-          stderr,
-          "usage: overload_bench [--smallest] [--nested-as-new] [--ask-always]\n");
+      std::fprintf(stderr,
+                   "usage: overload_bench [--smallest] [--nested-as-new] [--ask-always] "
+                   "[--load-policy NAME]\n");
       return 2;
     }
   }
   const auto length = std::chrono::seconds(smallest ? 6 : 40);
-  return quetzal::RunAll(length, marks_nested, knows_waits) ? 0 : 1;
+  return quetzal::RunAll(load_policy, length, marks_nested, knows_waits) ? 0 : 1;
 }
--- a/bench/overload_model.h
+++ b/bench/overload_model.h
@@ -62,8 +62,12 @@
   std::string name;
   std::array<double, 3> burst{};  ///< Factor of each kind during a burst.
   double slow_factor = 1;         ///< Of a sixth of the servers, during a burst.
+  bool uneven = false;            ///< Servers take kUnevenFactors of the usual time.
 };
 
+/// In turn; the mean speed is about one.
+inline constexpr std::array<double, 3> kUnevenFactors = {0.7, 0.7, 1.7};
+
 struct Count {
   std::uint64_t offered = 0;
   std::uint64_t in_time = 0;
@@ -84,7 +88,8 @@
 /// Queueing model of three services. Tasks run in order of their simulated time.
 class OverloadModel {
  public:
-  OverloadModel(Scenario scenario, Duration length, bool marks_nested, bool knows_waits);
+  OverloadModel(Scenario scenario, std::string load_policy, Duration length,
+                bool marks_nested, bool knows_waits);
 
   void Run();
   bool EndedOnce() const;
@@ -121,7 +126,8 @@
   using CallPtr = std::shared_ptr<Call>;
   struct Server {
     AdmissionControl admission;
-    double factor = 1;
+    double factor = 1;  ///< Of the time for a request, during a burst.
+    double speed = 1;   ///< The same, always.
     std::unordered_map<std::uint64_t, CallPtr> waiting;
   };
   struct Node {
@@ -176,6 +182,7 @@
   void End(const CallPtr& call, bool answered);
 
   const Scenario scenario_;
+  const std::string load_policy_;
   const Duration length_;
   const bool marks_nested_;
   const bool knows_waits_;
--- a/src/plugins/load_policy_earliest_completion/earliest_completion_selector.cc
+++ b/src/plugins/load_policy_earliest_completion/earliest_completion_selector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <optional>
 
 namespace quetzal {
 namespace {
@@ -36,6 +37,14 @@
   return service_ms * std::max(1.0, Utilization(load));
 }
 
+/// A server above this utilization fills up before its next report: requests would then
+/// be sent to full servers while slower ones have free slots.
+constexpr double kMaxPreferredUtilization = 0.85;
+
+bool HasRoom(const TargetLoad& load) {
+  return Utilization(load) <= kMaxPreferredUtilization;
+}
+
 bool IsBetter(const TargetLoad& a, const TargetLoad& b, double assumed_ms) {
   const double time_a = CompletionTime(a, assumed_ms);
   const double time_b = CompletionTime(b, assumed_ms);
@@ -53,17 +62,25 @@
 std::size_t EarliestCompletionSelector::Select(const std::vector<TargetLoad>& loads,
                                                Random* random) {
   const double assumed_ms = AssumedServiceTime(loads);
-  std::size_t best = random->Below(loads.size());
-  std::vector<std::size_t> rest(loads.size());
-  std::iota(rest.begin(), rest.end(), 0);
-  std::swap(rest[best], rest.back());
-  rest.pop_back();
-  for (std::size_t n = 1; n < kSampled && !rest.empty(); ++n) {
-    std::swap(rest[random->Below(rest.size())], rest.back());
-    if (IsBetter(loads[rest.back()], loads[best], assumed_ms)) best = rest.back();
-    rest.pop_back();
+  std::vector<std::size_t> sample(loads.size());
+  std::iota(sample.begin(), sample.end(), 0);
+  const std::size_t size = std::min(kSampled, loads.size());
+  for (std::size_t n = 0; n < size; ++n) {
+    std::swap(sample[n], sample[n + random->Below(loads.size() - n)]);
+  }
+  sample.resize(size);
+  std::optional<std::size_t> best;
+  for (const std::size_t n : sample) {
+    if (!HasRoom(loads[n])) continue;
+    if (!best || IsBetter(loads[n], loads[*best], assumed_ms)) best = n;
+  }
+  if (best) return *best;
+  // All are nearly full, and what is known of them is out of date: with more than two
+  // choices, all nodes would send to the same few servers.
+  if (size > 1 && ExpectedWait(loads[sample[1]]) < ExpectedWait(loads[sample[0]])) {
+    return sample[1];
   }
-  return best;
+  return sample[0];
 }
 
 }  // namespace quetzal
--- a/tests/calls/earliest_completion_test.cc
+++ b/tests/calls/earliest_completion_test.cc
@@ -53,6 +53,22 @@
   EXPECT_GT(PercentWhere(IsSlow), 80.0);
 }
 
+// A fast server with one slot left is full when the requests of several nodes arrive, and
+// they are refused while slow servers have free slots.
+TEST_F(EarliestCompletionTest, NearlyFullFastServersYieldToSlowOnesWithRoom) {
+  MakeUnevenServers(11);
+  EXPECT_GT(PercentWhere(IsSlow), 80.0);
+}
+
+// With more than two choices, all nodes would send to the few servers whose last reports
+// were the best, and fill them up.
+TEST_F(EarliestCompletionTest, FullServersAreChosenLikeTwoChoices) {
+  loads_.assign(10, {24, 12, kFastMs});
+  loads_[0].outstanding = 20;
+  // One of two random servers is the best one in 20% of the choices, one of five in 50%.
+  EXPECT_NEAR(PercentWhere([](std::size_t n) { return n == 0; }), 20.0, 3.0);
+}
+
 // The fastest server would get all requests of all nodes between two of its reports.
 TEST_F(EarliestCompletionTest, RequestsAreSpreadOverServersOfSimilarSpeed) {
   MakeUnevenServers(8);
