--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -18,9 +18,15 @@
 change() { # addresses...: one change; the state and the result go to the record
   target/review/operators "$run/state" $record $routes 1 "$@"
 }
+nodes=6
 for n in 1 2 3; do start_control $n; done
+for n in $(seq $nodes); do start_node "$n" huvo11a; done
+sleep 1
+for n in $(seq $nodes); do start_server "$n" huvo11a 18 50; done
 all=("$net.1:8144" "$net.2:8144" "$net.3:8144")
 for _ in $(seq 5); do change "${all[@]}" || { echo "the configuration cannot be changed" >&2; exit 2; }; done
+for n in $(seq $nodes); do await_ready "$n" || { echo "node $n is not ready" >&2; exit 2; }; done
+sleep 4
 
 if [ "$trouble" = 1 ]; then
   start_control 4 false
