--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -41,7 +41,9 @@
   std::map<std::string, std::string> fields;  ///< Names in lower case.
   std::string body;
 
-  int status() const { return first_line.size() < 12 ? 0 : std::stoi(first_line.substr(9, 3)); }
+  int status() const {
+    return first_line.size() < 12 ? 0 : std::stoi(first_line.substr(9, 3));
+  }
 };
 
 inline bool SendAll(int fd, const std::string& bytes) {
@@ -54,13 +56,17 @@
   return true;
 }
 
-/// Reads one message with a Content-Length, or without a body. `rest` keeps what follows it.
-inline bool ReadMessage(int fd, milliseconds timeout, std::string* rest, Message* message) {
+/// Reads one message with a Content-Length, or without a body. `rest` keeps what follows
+/// it.
+inline bool ReadMessage(int fd, milliseconds timeout, std::string* rest,
+                        Message* message) {
   const auto until = std::chrono::steady_clock::now() + timeout;
   const auto more = [&] {
-    const auto left = std::chrono::duration_cast<milliseconds>(until - std::chrono::steady_clock::now());
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        until - std::chrono::steady_clock::now());
     pollfd item{fd, POLLIN, 0};
-    if (left.count() <= 0 || poll(&item, 1, static_cast<int>(left.count())) <= 0) return false;
+    if (left.count() <= 0 || poll(&item, 1, static_cast<int>(left.count())) <= 0)
+      return false;
     char buf[16384];
     const ssize_t n = recv(fd, buf, sizeof buf, 0);
     if (n > 0) rest->append(buf, static_cast<std::size_t>(n));
@@ -80,11 +86,13 @@
     std::string name = line.substr(0, colon);
     std::transform(name.begin(), name.end(), name.begin(), ::tolower);
     const std::size_t value = line.find_first_not_of(' ', colon + 1);
-    if (colon != std::string::npos) message->fields[name] = value == std::string::npos ? "" : line.substr(value);
+    if (colon != std::string::npos)
+      message->fields[name] = value == std::string::npos ? "" : line.substr(value);
     at = next;
   }
   const auto length = message->fields.find("content-length");
-  const std::size_t size = length == message->fields.end() ? 0 : std::stoul(length->second);
+  const std::size_t size =
+      length == message->fields.end() ? 0 : std::stoul(length->second);
   rest->erase(0, end + 4);
   while (rest->size() < size) {
     if (!more()) return false;
@@ -95,21 +103,25 @@
 }
 
 /// One request on a new connection; the status is 0 without a complete answer.
-inline Message Request(const std::string& address, const std::string& request, milliseconds timeout) {
+inline Message Request(const std::string& address, const std::string& request,
+                       milliseconds timeout) {
   Message answer;
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in peer = ToSockaddr(address);
   const int one = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   std::string rest;
-  const bool answered = connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) == 0 &&
-                        SendAll(fd, request) && ReadMessage(fd, timeout, &rest, &answer);
+  const bool answered =
+      connect(fd, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) == 0 &&
+      SendAll(fd, request) && ReadMessage(fd, timeout, &rest, &answer);
   close(fd);
   return answered ? answer : Message();
 }
 
 inline std::string Post(const std::string& path, const std::string& body) {
-  return "POST " + path + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: " +
+  return "POST " + path +
+         " HTTP/1.1\r\nHost: control\r\nContent-Type: "
+         "application/json\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body;
 }
 
--- a/review/standins/operators.cc
+++ b/review/standins/operators.cc
@@ -1,12 +1,12 @@
-// Operators of the platform. Sends changes of the configuration that compete for one base,
-// each until it has a clear answer, then reads the configuration back and compares it with
-// the change that was acknowledged.
+// Operators of the platform. Sends changes of the configuration that compete for one
+// base, each until it has a clear answer, then reads the configuration back and compares
+// it with the change that was acknowledged.
 //
 //   operators STATE RECORD ROUTES CHANGES ADDRESS...
 //
 // STATE keeps the acknowledged configuration between calls. Exits with 0 when the
-// configuration read is the acknowledged one byte for byte, 1 when it is another one, 2 when
-// no change was acknowledged or nothing could be read.
+// configuration read is the acknowledged one byte for byte, 1 when it is another one, 2
+// when no change was acknowledged or nothing could be read.
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -32,7 +32,8 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kAnswerTimeout{1000};  // PROTOCOL.md: "a second without a response"
+constexpr milliseconds kAnswerTimeout{
+    1000};  // PROTOCOL.md: "a second without a response"
 constexpr milliseconds kFirstBackoff{20};
 constexpr milliseconds kMaxBackoff{60};
 constexpr std::chrono::seconds kGiveUp{15};
@@ -43,7 +44,8 @@
 
 struct State {
   std::uint32_t version = 0;
-  std::string services = std::string(kMovingRoutes, '0');  ///< Index of each moving route's service.
+  std::string services =
+      std::string(kMovingRoutes, '0');  ///< Index of each moving route's service.
 };
 
 std::string Hex(std::uint32_t number) {
@@ -56,14 +58,16 @@
   std::string json = "{\"version\":\"" + Hex(state.version) + "\",\"routes\":[";
   for (std::size_t n = 0; n < routes; ++n) {
     char head[128];
-    std::snprintf(head, sizeof head,
-                  "%s{\"name\":\"r-%05zu\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/p%05zu/\"",
-                  n == 0 ? "" : ",", n, n);
+    std::snprintf(
+        head, sizeof head,
+        "%s{\"name\":\"r-%05zu\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/p%05zu/\"",
+        n == 0 ? "" : ",", n, n);
     const std::size_t step = routes / kMovingRoutes;
     const bool moves = n % step == 0 && n / step < kMovingRoutes;
     const int service = moves ? state.services[n / step] - '0' : 0;
     json += head;
-    json += ",\"kind\":\"safe\",\"timeoutS\":1,\"sloS\":0.4,\"priority\":1,\"service\":\"";
+    json +=
+        ",\"kind\":\"safe\",\"timeoutS\":1,\"sloS\":0.4,\"priority\":1,\"service\":\"";
     json += kServices[service];
     json += "\",\"attempts\":2}";
   }
@@ -71,11 +75,13 @@
   for (const char* service : kServices) {
     if (service != kServices[0]) json += ",";
     json += std::string("{\"name\":\"") + service +
-            "\",\"healthPath\":\"/healthz\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}";
+            "\",\"healthPath\":\"/"
+            "healthz\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}";
   }
-  json += "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
-          "\"headerTimeoutS\":3,\"idleTimeoutS\":15},\"baseVersion\":\"" +
-          Hex(base) + "\"}";
+  json +=
+      "],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"
+      "\"headerTimeoutS\":3,\"idleTimeoutS\":15},\"baseVersion\":\"" +
+      Hex(base) + "\"}";
   return json;
 }
 
@@ -97,15 +103,18 @@
   const int one = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   int status = 0;
-  if (connect(fd, reinterpret_cast<sockaddr*>(&peer), sizeof peer) == 0 || errno == EINPROGRESS) {
+  if (connect(fd, reinterpret_cast<sockaddr*>(&peer), sizeof peer) == 0 ||
+      errno == EINPROGRESS) {
     std::string text;
     std::size_t sent = 0;
     char buf[65536];
     while (Clock::now() < until) {
-      pollfd item{fd, static_cast<short>(sent < request.size() ? POLLOUT | POLLIN : POLLIN), 0};
+      pollfd item{
+          fd, static_cast<short>(sent < request.size() ? POLLOUT | POLLIN : POLLIN), 0};
       if (poll(&item, 1, Remaining(until)) <= 0) break;
       if ((item.revents & POLLOUT) != 0 && sent < request.size()) {
-        const ssize_t n = send(fd, request.data() + sent, request.size() - sent, MSG_NOSIGNAL);
+        const ssize_t n =
+            send(fd, request.data() + sent, request.size() - sent, MSG_NOSIGNAL);
         if (n < 0 && errno != EAGAIN) break;
         if (n > 0) sent += static_cast<std::size_t>(n);
       }
@@ -133,7 +142,8 @@
 /// Sends `request` to one address after the other until `is_clear(status)`.
 template <class IsClear>
 int Resend(const std::vector<std::string>& addresses, std::size_t first,
-           const std::string& request, IsClear is_clear, int* attempts, std::string* body) {
+           const std::string& request, IsClear is_clear, int* attempts,
+           std::string* body) {
   const auto began = Clock::now();
   milliseconds backoff = kFirstBackoff;
   std::minstd_rand jitter(std::random_device{}());
@@ -174,13 +184,17 @@
   for (std::size_t n = 0; n < changes; ++n) {
     threads.emplace_back([&, n] {
       const std::string request =
-          "POST /api/config/put HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
-          "Content-Length: " + std::to_string(orders[n].size()) +
-          "\r\nConnection: close\r\n\r\n" + orders[n];
+          "POST /api/config/put HTTP/1.1\r\nHost: control\r\nContent-Type: "
+          "application/json\r\n"
+          "Content-Length: " +
+          std::to_string(orders[n].size()) + "\r\nConnection: close\r\n\r\n" + orders[n];
       std::string body;
-      statuses[n] = Resend(addresses, n, request,
-                           [](int s) { return s == 200 || s == 400 || s == 409 || s == 412 || s == 413 || s == 422; },
-                           &attempts[n], &body);
+      statuses[n] = Resend(
+          addresses, n, request,
+          [](int s) {
+            return s == 200 || s == 400 || s == 409 || s == 412 || s == 413 || s == 422;
+          },
+          &attempts[n], &body);
     });
   }
   for (std::thread& it : threads) it.join();
@@ -188,8 +202,8 @@
   std::string expected;
   for (std::size_t n = 0; n < changes; ++n) {
     record << "  sent version " << Hex(states[n].version) << " on " << Hex(base.version)
-           << ", services of the moving routes " << states[n].services << ": " << statuses[n]
-           << " after " << attempts[n] << " attempts\n";
+           << ", services of the moving routes " << states[n].services << ": "
+           << statuses[n] << " after " << attempts[n] << " attempts\n";
     if (statuses[n] != 200) continue;
     accepted = &states[n];
     expected = orders[n];
@@ -198,9 +212,10 @@
   std::ofstream(argv[1]) << accepted->version << " " << accepted->services << "\n";
   int reads = 0;
   std::string read;
-  const int status = Resend(addresses, 0,
-                            "GET /api/config/get HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n",
-                            [](int s) { return s == 200; }, &reads, &read);
+  const int status = Resend(
+      addresses, 0,
+      "GET /api/config/get HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n",
+      [](int s) { return s == 200; }, &reads, &read);
   if (status != 200) {
     record << "  read: no answer\n";
     return 2;
@@ -210,12 +225,17 @@
     return 0;
   }
   const std::size_t at = static_cast<std::size_t>(
-      std::mismatch(read.begin(), read.begin() + std::min(read.size(), expected.size()), expected.begin()).first - read.begin());
+      std::mismatch(read.begin(), read.begin() + std::min(read.size(), expected.size()),
+                    expected.begin())
+          .first -
+      read.begin());
   std::size_t differing = 0;
-  for (std::size_t n = 0; n < std::min(read.size(), expected.size()); ++n) differing += read[n] != expected[n];
+  for (std::size_t n = 0; n < std::min(read.size(), expected.size()); ++n)
+    differing += read[n] != expected[n];
   const std::size_t from = at < 60 ? 0 : at - 60;
-  record << "  read: ANOTHER CONFIGURATION, " << read.size() << " bytes of " << expected.size()
-         << ", " << differing << " bytes differ, the first at " << at << "\n    sent: "
-         << expected.substr(from, 120) << "\n    read: " << read.substr(from, 120) << "\n";
+  record << "  read: ANOTHER CONFIGURATION, " << read.size() << " bytes of "
+         << expected.size() << ", " << differing << " bytes differ, the first at " << at
+         << "\n    sent: " << expected.substr(from, 120)
+         << "\n    read: " << read.substr(from, 120) << "\n";
   return 1;
 }
--- a/review/standins/send.cc
+++ b/review/standins/send.cc
@@ -21,11 +21,14 @@
   }
   std::string request = review::Post(argv[2], body);
   if (std::string(argv[1]) == "GET") {
-    request = std::string("GET ") + argv[2] + " HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n";
+    request = std::string("GET ") + argv[2] +
+              " HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n";
   }
   const std::int64_t end = review::NowMs() + std::int64_t{1000} * std::stoi(argv[4]);
   for (int n = 0; review::NowMs() < end; ++n) {
-    if (review::Request(argv[5 + n % (argc - 5)], request, milliseconds(1000)).status() == 200) return 0;
+    if (review::Request(argv[5 + n % (argc - 5)], request, milliseconds(1000)).status() ==
+        200)
+      return 0;
     std::this_thread::sleep_for(milliseconds(100));
   }
   return 1;
--- a/review/standins/server.cc
+++ b/review/standins/server.cc
@@ -2,14 +2,14 @@
 //
 //   server ADDRESS CONTROL SERVICE ZONE SLOTS WORK_MS RECORD [LEAVE_FILE]
 //
-// Sends heartbeats to CONTROL and serves requests at ADDRESS. A request takes WORK_MS, or N ms where
-// its path holds "work-N". RECORD gets a line for each run: "MS run PATH".
+// Sends heartbeats to CONTROL and serves requests at ADDRESS. A request takes WORK_MS, or
+// N ms where its path holds "work-N". RECORD gets a line for each run: "MS run PATH".
 //
-// Once LEAVE_FILE exists, the server stops its heartbeats and sends its leave. The file names a
-// process that is killed as soon as the leave is acknowledged ("0": none). A heartbeat of before
-// the leave arrives late: when CONTROL answers again after the kill, or after a second without
-// one. The server goes on to serve until it is ended. RECORD gets "MS leave STATUS" and
-// "MS late-heartbeat STATUS".
+// Once LEAVE_FILE exists, the server stops its heartbeats and sends its leave. The file
+// names a process that is killed as soon as the leave is acknowledged ("0": none). A
+// heartbeat of before the leave arrives late: when CONTROL answers again after the kill,
+// or after a second without one. The server goes on to serve until it is ended. RECORD
+// gets "MS leave STATUS" and "MS late-heartbeat STATUS".
 #include <signal.h>
 
 #include <atomic>
@@ -45,13 +45,15 @@
   }
 
   std::string Heartbeat() {
-    return "{\"service\":\"" + service + "\",\"addr\":\"" + address + "\",\"zone\":\"" + zone +
-           "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"ready\",\"coldLeftS\":0,\"seq\":" +
-           std::to_string(++sequence) + ",\"born\":" + std::to_string(born) + "}";
+    return "{\"service\":\"" + service + "\",\"addr\":\"" + address + "\",\"zone\":\"" +
+           zone + "\",\"version\":\"v1\",\"slots\":" + slots +
+           ",\"state\":\"ready\",\"coldLeftS\":0,\"seq\":" + std::to_string(++sequence) +
+           ",\"born\":" + std::to_string(born) + "}";
   }
 
   int Tell(const std::string& action, const std::string& body) {
-    return review::Request(control, review::Post("/api/instances/" + id + "/" + action, body),
+    return review::Request(control,
+                           review::Post("/api/instances/" + id + "/" + action, body),
                            milliseconds(1000))
         .status();
   }
@@ -61,24 +63,31 @@
     Message request;
     while (review::ReadMessage(fd, kIdle, &rest, &request)) {
       const std::size_t from = request.first_line.find(' ') + 1;
-      const std::string path = request.first_line.substr(from, request.first_line.rfind(' ') - from);
+      const std::string path =
+          request.first_line.substr(from, request.first_line.rfind(' ') - from);
       std::string answer;
       const std::string attempt = request.fields["x-attempt-id"];
       if (path == "/healthz") {
-        answer = "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
-      } else if (request.fields.count("x-expect-instance") != 0 && request.fields["x-expect-instance"] != id) {
-        answer = "HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " + attempt +
-                 "\r\nContent-Length: 0\r\n\r\n";
+        answer =
+            "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+      } else if (request.fields.count("x-expect-instance") != 0 &&
+                 request.fields["x-expect-instance"] != id) {
+        answer =
+            "HTTP/1.1 421 Misdirected Request\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+            attempt + "\r\nContent-Length: 0\r\n\r\n";
       } else {
         Record("run " + path);
         const std::size_t own = path.find("work-");
-        const milliseconds time = own == std::string::npos ? work : milliseconds(std::stoi(path.substr(own + 5)));
+        const milliseconds time = own == std::string::npos
+                                      ? work
+                                      : milliseconds(std::stoi(path.substr(own + 5)));
         const std::string deadline = request.fields["x-deadline-ms"];
         const bool late = !deadline.empty() && time > milliseconds(std::stoll(deadline));
         // A server stops work at the deadline that it receives, and says so.
         std::this_thread::sleep_for(late ? milliseconds(std::stoll(deadline)) : time);
         const std::string body = id + " " + path;
-        answer = std::string("HTTP/1.1 ") + (late ? "504 Gateway Timeout" : "200 OK") + "\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Seal: seal." + attempt +
+        answer = std::string("HTTP/1.1 ") + (late ? "504 Gateway Timeout" : "200 OK") +
+                 "\r\nX-Attempt-Id: " + attempt + "\r\nX-Response-Seal: seal." + attempt +
                  "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
       }
       if (!review::SendAll(fd, answer)) break;
@@ -91,7 +100,9 @@
     const int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     const sockaddr_in own = review::ToSockaddr(address);
-    if (bind(fd, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0 || listen(fd, 128) != 0) std::exit(2);
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&own), sizeof own) != 0 ||
+        listen(fd, 128) != 0)
+      std::exit(2);
     std::thread([this, fd] {
       for (;;) {
         const int accepted = accept(fd, nullptr, nullptr);
