Orders: content is compressed against the base that the order names

Cause: IntentMachine::Pack compressed an order against the content that the proposing instance had applied at that moment, and Replace decompressed it against the content in force when the entry was committed. The number of the base was checked when the entry was applied, but not when it was packed. The zstd frame had no checksum, and nothing compared the result with the digest of the order.

Change: PackOrder compresses against the applied content only if its number is the order's base. Numbers grow along the log and name one content each, so this is the content that every instance decompresses against. An order ahead of the applied one is logged whole; one that is behind it is refused or recognized when it is applied and needs no content. UnpackOrder compares the result with the digest, and frames carry a checksum. `order.ahead_of_applied` logs the condition.

--- a/src/libquetzal/base/delta_compression.cc
+++ b/src/libquetzal/base/delta_compression.cc
@@ -37,6 +37,7 @@
   const std::unique_ptr<ZSTD_CCtx, FreeContext> context(ZSTD_createCCtx());
   ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, kCompressionLevel);
   ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, WindowLog(base, bytes));
+  ZSTD_CCtx_setParameter(context.get(), ZSTD_c_checksumFlag, 1);
   ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
   std::string out(ZSTD_compressBound(bytes.size()), '\0');
   const std::size_t n =
--- a/src/libquetzal/base/delta_compression.h
+++ b/src/libquetzal/base/delta_compression.h
@@ -11,8 +11,9 @@
 /// Error(kInternalError).
 std::string CompressAgainst(std::string_view base, std::string_view bytes);
 
-/// Reverses CompressAgainst. Throws Error(kMessageMalformed) when `compressed` is corrupt
-/// or decompresses to more than `max_bytes`.
+/// Reverses CompressAgainst. Throws Error(kMessageMalformed) when `compressed` is
+/// corrupt, `base` is another one than `compressed` refers to, or the result exceeds
+/// `max_bytes`.
 std::string DecompressAgainst(std::string_view base, std::string_view compressed,
                               std::size_t max_bytes);
 
--- a/src/libquetzal/control/intent_machine.h
+++ b/src/libquetzal/control/intent_machine.h
@@ -65,10 +65,12 @@
   /// change or is no longer kept.
   std::string IntentConfirmedAs(const Version& version) const;
 
-  /// `order` with its content compressed, as the log keeps it. Throws
-  /// Error(kInternalError).
+  /// `order` as the log keeps it (control/order_content.h). Throws Error(kInternalError).
   ReplaceConfiguration Pack(const ReplaceConfiguration& order) const;
 
+  /// Number of the current order; 0: no order was accepted yet.
+  std::uint64_t order_number() const;
+
   /// The document of the current order; none when no order was accepted yet.
   std::optional<std::string> document() const;
 
--- a/src/libquetzal/control/intent_machine_order.cc
+++ b/src/libquetzal/control/intent_machine_order.cc
@@ -3,20 +3,15 @@
 #include <utility>
 
 #include "base/concat.h"
-#include "base/delta_compression.h"
 #include "base/result_code.h"
 #include "configuration/configuration_check.h"
 #include "configuration/configuration_delta.h"
 #include "configuration/rollout_list.h"
 #include "control/intent_machine.h"
 #include "control/intent_record.h"
+#include "control/order_content.h"
 
 namespace quetzal {
-namespace {
-
-constexpr std::size_t kMaxContentBytes = std::size_t{16} << 20;
-
-}  // namespace
 
 ControlResult IntentMachine::Replace(const Version& at, const ControlEntry& entry) {
   const ReplaceConfiguration& order = entry.replace();
@@ -36,12 +31,9 @@
   CopyAllButNamedLists(*configuration_, &next);
   std::string bytes;
   try {
-    bytes =
-        DecompressAgainst(replaced_content_, order.packed_content(), kMaxContentBytes);
+    bytes = UnpackOrder(order, {order_number_, replaced_content_});
     ReplacedContent content;
-    if (!content.ParseFromString(bytes)) {
-      throw Error(ResultCode::kMessageMalformed, "The order's content is malformed.");
-    }
+    content.ParseFromString(bytes);
     next.mutable_services()->Swap(content.mutable_configuration()->mutable_services());
     next.mutable_routes()->Swap(content.mutable_configuration()->mutable_routes());
     RemoveOrphanedRollouts(&next);
@@ -79,6 +71,11 @@
   if (accepted_orders_.size() > retention_.accepted_orders) accepted_orders_.pop_front();
 }
 
+std::uint64_t IntentMachine::order_number() const {
+  std::lock_guard lock(mutex_);
+  return order_number_;
+}
+
 std::optional<std::string> IntentMachine::document() const {
   std::lock_guard lock(mutex_);
   if (order_number_ == 0) return std::nullopt;
@@ -87,15 +84,9 @@
   return content.document();
 }
 
-// Compresses against the current content: successive configurations differ little, and
-// every entry is replicated to all control instances. An order on another base is
-// refused before its content is decompressed.
 ReplaceConfiguration IntentMachine::Pack(const ReplaceConfiguration& order) const {
-  ReplaceConfiguration packed = order;
-  packed.clear_content();
   std::lock_guard lock(mutex_);
-  packed.set_packed_content(CompressAgainst(replaced_content_, order.content()));
-  return packed;
+  return PackOrder(order, {order_number_, replaced_content_});
 }
 
 }  // namespace quetzal
--- a/src/libquetzal/control/order_service.cc
+++ b/src/libquetzal/control/order_service.cc
@@ -4,11 +4,10 @@
 #include <limits>
 #include <utility>
 
-#include <xxhash.h>
-
 #include "base/result_code.h"
 #include "configuration/rollout_list.h"
 #include "control/intent_record.h"
+#include "control/order_content.h"
 
 namespace quetzal {
 namespace {
@@ -21,13 +20,6 @@
 /// One from an instance outside the group to a member, one from there to the leader.
 constexpr std::uint32_t kMaxHops = 2;
 
-std::string DigestOf(const std::string& document) {
-  const XXH128_hash_t hash = XXH3_128bits(document.data(), document.size());
-  XXH128_canonical_t canonical;
-  XXH128_canonicalFromHash(&canonical, hash);
-  return {std::begin(canonical.digest), std::end(canonical.digest)};
-}
-
 OrderAnswer MakeAnswer(ResultCode code, std::string message) {
   OrderAnswer answer;
   answer.set_code(static_cast<int>(code));
@@ -63,7 +55,7 @@
   ReplaceConfiguration* replace = message.mutable_replace();
   replace->set_number(order.number);
   replace->set_base(order.base);
-  replace->set_digest(DigestOf(order.document));
+  replace->set_digest(DigestOfDocument(order.document));
   ReplacedContent content;
   content.set_document(order.document);
   *content.mutable_configuration() = order.configuration;
@@ -141,7 +133,7 @@
   if (order.has_start_rollout()) {
     *entry.mutable_start_rollout() = order.start_rollout();
   } else {
-    *entry.mutable_replace() = dependencies_.machine->Pack(order.replace());
+    *entry.mutable_replace() = Pack(order.replace());
   }
   dependencies_.agreement->Propose(
       entry.SerializeAsString(),
@@ -151,6 +143,17 @@
       });
 }
 
+ReplaceConfiguration OrderService::Pack(const ReplaceConfiguration& order) const {
+  const std::uint64_t applied = dependencies_.machine->order_number();
+  if (applied < order.base()) {
+    dependencies_.events->Emit({"order.ahead_of_applied",
+                                {{"number", std::to_string(order.number())},
+                                 {"base", std::to_string(order.base())},
+                                 {"applied", std::to_string(applied)}}});
+  }
+  return dependencies_.machine->Pack(order);
+}
+
 void OrderService::OnProposed(const ForwardedOrder& order, ResultCode code,
                               const std::string& bytes, const Done& done) {
   if (code == ResultCode::kNotLeader) return Forward(order, done);
--- a/src/libquetzal/control/order_service.h
+++ b/src/libquetzal/control/order_service.h
@@ -84,6 +84,7 @@
 
   void Dispatch(const ForwardedOrder& order, const Done& done);
   void Propose(const ForwardedOrder& order, const Done& done);
+  ReplaceConfiguration Pack(const ReplaceConfiguration& order) const;
   void ReadLocal(const ForwardedOrder& order, const Done& done);
   OrderAnswer AnswerRead(const ForwardedOrder& order) const;
   void Forward(const ForwardedOrder& order, const Done& done);
--- a/tests/base/delta_compression_test.cc
+++ b/tests/base/delta_compression_test.cc
@@ -46,6 +46,21 @@
   }));
 }
 
+// Guards against a result that mixes the bytes of two bases.
+TEST(DeltaCompressionTest, AnotherBaseOfTheSameSizeIsAnError) {
+  const std::string base = RandomDigits(10'000);
+  std::string other = base;
+  other[5'000] = '*';
+  const std::string compressed = CompressAgainst(base, base + "one more route");
+  EXPECT_THROW(DecompressAgainst(other, compressed, 20'000), Error);
+}
+
+TEST(DeltaCompressionTest, BytesWithoutABaseDecompressAgainstAny) {
+  const std::string text = RandomDigits(10'000);
+  EXPECT_EQ(DecompressAgainst(RandomDigits(9'000), CompressAgainst("", text), 20'000),
+            text);
+}
+
 TEST(DeltaCompressionTest, AnyBytesRoundTrip) {
   EXPECT_TRUE(rc::check([](const std::string& base, const std::string& bytes) {
     RC_ASSERT(DecompressAgainst(base, CompressAgainst(base, bytes), bytes.size()) ==
--- a/tests/control/intent_machine_rollout_test.cc
+++ b/tests/control/intent_machine_rollout_test.cc
@@ -5,6 +5,7 @@
 #include "base/result_code.h"
 #include "configuration/rollout_list.h"
 #include "control/intent_machine.h"
+#include "control/order_content.h"
 
 namespace quetzal {
 namespace {
@@ -29,6 +30,7 @@
     for (const std::string& name : services) {
       content.mutable_configuration()->add_services()->set_name(name);
     }
+    order.set_digest(DigestOfDocument(content.document()));
     order.set_content(content.SerializeAsString());
     ControlEntry entry;
     *entry.mutable_replace() = machine_.Pack(order);
--- a/tests/control/rollout_controller_test.cc
+++ b/tests/control/rollout_controller_test.cc
@@ -5,6 +5,7 @@
 #include "base/result_code.h"
 #include "configuration/rollout_list.h"
 #include "control/control_fakes.h"
+#include "control/order_content.h"
 #include "control/order_service.h"
 
 namespace quetzal {
@@ -69,6 +70,7 @@
     order.set_number(1);
     ReplacedContent content;
     content.mutable_configuration()->add_services()->set_name("desk");
+    order.set_digest(DigestOfDocument(content.document()));
     order.set_content(content.SerializeAsString());
     *entry.mutable_replace() = At(0).control.machine.Pack(order);
     Commit(entry);
