Group repair: a stopping control instance leaves the group before it ends

Cause: the successor had joined, so that the group had four voters. The instance that stopped was removed only after 6 s of silence and once the fleet had declared it dead or left, although it had said that it stops. Until then three of four had to vote: the stopped one could not, and the one with the lost folder had lost its identity, which only a leader can admit. The news of the stop travelled by gossip only, was queued and not sent before the process ended, and in a data centre without nodes nobody declares an instance dead. The 6 s also exceed the recovery time of 4 s after which the platform may take the next disk when an instance is replaced without notice.

Change: the group follows what is known. An instance that stops announces it to all members (/control/group/stopping), and the leader removes it at once where the group tolerates as many losses without it and all others vote. The instance ends once the removal is committed, which the leader proves with a read barrier, or after 2 s. A member of a group of three is kept, as before. An instance that ends without notice is removed from a group of even size after 2 s of silence, whoever declares it dead: cut off or dead, the others need one vote less, and it may return with its folder. A change that is refused since another one is under way is tried again at the next check. Planner and repairer are a file pair each; control instances that leave are no candidates.

--- a/src/control/control_program.cc
+++ b/src/control/control_program.cc
@@ -176,8 +176,11 @@
                                       &membership_random_, &events_});
   if (!settings_.Flag("repair-group")) return;
   group_repairer_ = std::make_unique<GroupRepairer>(
-      GroupRepairer::Dependencies{agreement_.get(), membership_.get(),
-                                  control_executor_.get(), clock_, &events_},
+      settings_.Text("instance"),
+      GroupRepairer::Dependencies{
+          agreement_.get(), rpc_client_.get(), rpc_server_.get(), control_executor_.get(),
+          clock_, &events_, [this] { return membership_->control_instances(); },
+          [this](const std::string& name) { return membership_->IsDeadOrLeft(name); }},
       GroupRepairSettings{});
 }
 
@@ -258,10 +261,20 @@
   events_.Emit({"process.stopped", {}});
 }
 
+void ControlProgram::LeaveGroup() {
+  std::promise<void> left;
+  control_executor_->Post([&] {
+    membership_->AnnounceLeaving();
+    group_repairer_->Leave([&] { left.set_value(); });
+  });
+  left.get_future().wait();
+}
+
 void ControlProgram::Stop() {
   // Operators' requests in progress are answered before leadership is handed over.
   admin_->Stop();
   if (order_server_) order_server_->Stop();
+  if (group_repairer_) LeaveGroup();
   agreement_->Stop();
   publisher_->Stop();
   std::promise<void> stopped;
--- a/src/control/control_program.h
+++ b/src/control/control_program.h
@@ -17,7 +17,7 @@
 #include "control/control_group_reconciler.h"
 #include "control/control_membership.h"
 #include "control/control_service.h"
-#include "control/group_repair.h"
+#include "control/group_repairer.h"
 #include "control/intent_api.h"
 #include "control/intent_events.h"
 #include "control/intent_machine.h"
@@ -54,6 +54,8 @@
   void MakeOrderService(const PeerLookup& lookup);
   void MakeMembership();
   void ReplyWithMetrics(AdminReply reply);
+  /// Takes this instance out of the group where that tolerates more losses without it.
+  void LeaveGroup();
   void Stop();
 
   const Settings& settings_;
--- a/src/libquetzal/control/control_membership.cc
+++ b/src/libquetzal/control/control_membership.cc
@@ -37,9 +37,14 @@
   link_->Run();
 }
 
+void ControlMembership::AnnounceLeaving() {
+  membership_.Leave(false);
+  Tick();
+}
+
 void ControlMembership::Leave() {
   membership_.Leave(true);
-  link_->Run();
+  Tick();
 }
 
 void ControlMembership::Stop() {
@@ -52,6 +57,7 @@
   for (const auto& [name, entry] : membership_.table().entries()) {
     const Member& member = entry.member;
     if (!member.control() || !TakesPart(member)) continue;
+    if (member.state() == MEMBER_LEAVING) continue;
     if (const auto address = TryEndpoint(member.stream_address())) {
       peers.push_back({name, *address});
     }
--- a/src/libquetzal/control/control_membership.h
+++ b/src/libquetzal/control/control_membership.h
@@ -42,11 +42,14 @@
   /// Binds the gossip address and joins the fleet. Throws Error(kPortTaken).
   void Start();
 
-  /// Announces to the fleet that this instance leaves.
+  /// Announces to the fleet that this instance is about to leave.
+  void AnnounceLeaving();
+
+  /// Announces to the fleet that this instance has left.
   void Leave();
   void Stop();
 
-  /// The control instances that are current members, including this one.
+  /// The control instances that are current members and do not leave, including this one.
   std::vector<Peer> control_instances() const;
 
   /// True when the members of its data centre declared the instance `name` dead, or it
--- a/src/libquetzal/control/group_repair.cc
+++ b/src/libquetzal/control/group_repair.cc
@@ -2,19 +2,23 @@
 
 #include <algorithm>
 
-#include "base/result_code.h"
-
 namespace quetzal {
 namespace {
 
-constexpr Duration kPeriod = std::chrono::milliseconds(500);
-
 const GroupMember* Find(const std::vector<GroupMember>& group, const std::string& name) {
   const auto it = std::find_if(group.begin(), group.end(),
                                [&](const GroupMember& it) { return it.name == name; });
   return it == group.end() ? nullptr : &*it;
 }
 
+/// A group of even size tolerates no more losses than one with an instance less.
+bool IsEven(std::size_t size) { return size % 2 == 0; }
+
+bool AllVote(const std::vector<GroupMember>& group) {
+  return std::all_of(group.begin(), group.end(),
+                     [](const GroupMember& it) { return it.votes; });
+}
+
 }  // namespace
 
 std::optional<MembershipChange> GroupRepairPlanner::Next(
@@ -22,26 +26,25 @@
     const std::vector<ControlMembership::Peer>& control_instances,
     const IsDeadOrLeft& is_dead_or_left, SteadyTime now) {
   RecordAnswers(group, now);
-  const bool has_standby = std::any_of(
-      control_instances.begin(), control_instances.end(),
-      [&group](const auto& peer) { return Find(group, peer.name) == nullptr; });
-  // A group of even size tolerates no more losses than one with an instance less, and a
-  // standby takes the place of the removed one.
-  const bool safer_without = group.size() % 2 == 0 || has_standby;
+  // A standby takes the place of the removed one.
+  const bool safer_without = IsEven(group.size()) || HasStandby(group, control_instances);
   MembershipChange change;
   // Removals come first: while a dead instance counts, a majority needs more of the
   // others.
   for (const GroupMember& member : group) {
     if (group.size() <= settings_.smallest) break;
-    if (!IsLost(member.name, safer_without, now)) continue;
-    if (!is_dead_or_left(member.name) || !MayTry(member.name, now)) continue;
+    const bool due = IsStopping(member.name)
+                         ? safer_without && (!member.answers || AllVote(group))
+                         : IsLost(member.name, safer_without, is_dead_or_left, now);
+    if (!due || !MayTry(member.name, now)) continue;
     change.kind = MembershipChangeKind::kRemoveLost;
     change.name = member.name;
     return change;
   }
   if (group.size() >= settings_.largest) return std::nullopt;
   for (const ControlMembership::Peer& peer : control_instances) {
-    if (Find(group, peer.name) != nullptr || !MayTry(peer.name, now)) continue;
+    if (Find(group, peer.name) != nullptr || IsStopping(peer.name)) continue;
+    if (!MayTry(peer.name, now)) continue;
     change.kind = MembershipChangeKind::kAdd;
     change.name = peer.name;
     change.endpoint = peer.streams;
@@ -60,6 +63,21 @@
       unresponsive_since_.try_emplace(member.name, now);
     }
   }
+  for (auto it = stopping_since_.begin(); it != stopping_since_.end();) {
+    const GroupMember* member = Find(group, it->first);
+    const bool ended = now - it->second >= settings_.stop_limit;
+    const bool started_again = ended && (member == nullptr || member->answers);
+    it = started_again ? stopping_since_.erase(it) : std::next(it);
+  }
+}
+
+bool GroupRepairPlanner::HasStandby(
+    const std::vector<GroupMember>& group,
+    const std::vector<ControlMembership::Peer>& control_instances) const {
+  return std::any_of(control_instances.begin(), control_instances.end(),
+                     [&](const ControlMembership::Peer& peer) {
+                       return Find(group, peer.name) == nullptr && !IsStopping(peer.name);
+                     });
 }
 
 bool GroupRepairPlanner::HasSuccessor(SteadyTime unresponsive_since) const {
@@ -69,13 +87,35 @@
 }
 
 bool GroupRepairPlanner::IsLost(const std::string& name, bool safer_without,
+                                const IsDeadOrLeft& is_dead_or_left,
                                 SteadyTime now) const {
   const auto unresponsive = unresponsive_since_.find(name);
   if (unresponsive == unresponsive_since_.end()) return false;
-  const Duration limit = safer_without || HasSuccessor(unresponsive->second)
+  const Duration silent = now - unresponsive->second;
+  // Whether the instance is dead or cut off, the others need one vote less without it.
+  if (safer_without) return silent >= settings_.removal_delay;
+  const Duration limit = HasSuccessor(unresponsive->second)
                              ? settings_.removal_delay
                              : settings_.unreplaced_removal_delay;
-  return now - unresponsive->second >= limit;
+  return silent >= limit && is_dead_or_left(name);
+}
+
+bool GroupRepairPlanner::IsStopping(const std::string& name) const {
+  return stopping_since_.count(name) > 0;
+}
+
+void GroupRepairPlanner::OnStopping(const std::string& name, SteadyTime now) {
+  stopping_since_.try_emplace(name, now);
+}
+
+bool GroupRepairPlanner::MayBeRemoved(
+    const std::vector<GroupMember>& group,
+    const std::vector<ControlMembership::Peer>& control_instances,
+    const std::string& name) const {
+  if (Find(group, name) == nullptr) return false;
+  const bool standby = HasStandby(group, control_instances);
+  const bool large = group.size() > settings_.smallest || standby;
+  return large && (IsEven(group.size()) || standby);
 }
 
 void GroupRepairPlanner::OnRefused(const MembershipChange& change, SteadyTime now) {
@@ -87,36 +127,4 @@
   return it == not_before_.end() || now >= it->second;
 }
 
-void GroupRepairer::Start() {
-  timer_ = dependencies_.executor->Every(kPeriod, [this] { Check(); });
-}
-
-void GroupRepairer::Check() {
-  const LeadershipView view = dependencies_.agreement->leadership();
-  if (busy_ || !view.leading) return;
-  const ControlMembership& membership = *dependencies_.membership;
-  std::optional<MembershipChange> change = planner_.Next(
-      dependencies_.agreement->group(), membership.control_instances(),
-      [&membership](const std::string& name) { return membership.IsDeadOrLeft(name); },
-      dependencies_.clock->Now());
-  if (!change) return;
-  change->term = view.term;
-  busy_ = true;
-  dependencies_.agreement->ProposeMembership(
-      *change,
-      [this, change = *change](ResultCode code, LogPosition, const std::string& text) {
-        dependencies_.executor->Post([this, change, code, text] {
-          busy_ = false;
-          const bool added = change.kind == MembershipChangeKind::kAdd;
-          dependencies_.events->Emit({added ? "group.add" : "group.remove",
-                                      {{"peer", change.name},
-                                       {"code", std::string(InfoOf(code).name)},
-                                       {"reason", text}}});
-          if (code != ResultCode::kOk) {
-            planner_.OnRefused(change, dependencies_.clock->Now());
-          }
-        });
-      });
-}
-
 }  // namespace quetzal
--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -291,6 +291,8 @@
   if (self_.state() == state) return;
   self_.set_state(state);
   PublishSelf();
+  // The process may end before the next gossip is due.
+  next_gossip_ = clock_->Now();
 }
 
 void Membership::SetAppliedVersion(const Version& applied) {
