Nodes: a departure is acknowledged once other members hold it

Cause: the leave was acknowledged before any process but the dying one knew of it. It was queued for the next round of gossip. The next process of the node had no record of the departure, joined by asking one random member, and took the late heartbeat for that of a new server. Gossip of the new process may also overtake the news of the departure, which a member then drops as older.

Change: the acknowledgement waits until a majority of the witnesses holds the node's record: the control instances that take part in the gossip, else three nodes chosen by name. A witness states in its answer that it holds the record as it was sent (`holds_record`). What is not held within 0.8 s is answered with 503; the server reports again. The departure itself takes effect at once. A node that starts asks a majority of the witnesses what earlier processes have observed, and until then (at most the join limit) its server is "starting". A heartbeat that says "draining" is acknowledged in the same way. ServerReports decides on acknowledgements; the platform's interface only encodes them.

--- a/src/libquetzal/distribution/node_distribution.cc
+++ b/src/libquetzal/distribution/node_distribution.cc
@@ -20,6 +20,10 @@
   core_->SetBackendServer(server);
 }
 
+void NodeDistribution::AwaitHeld(Duration limit, std::function<void(bool held)> done) {
+  core_->AwaitHeld(limit, std::move(done));
+}
+
 void NodeDistribution::AnnounceLeaving() { core_->AnnounceLeaving(); }
 
 void NodeDistribution::Leave(std::function<void()> done) {
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -77,6 +77,7 @@
   membership_ = std::make_unique<Membership>(
       settings_.membership, MakeSelf(identity_, identity_.incarnation), settings_.seeds,
       dependencies_.clock, dependencies_.random);
+  witnesses_ = std::make_unique<RecordWitnesses>(membership_.get());
   SourceLinkSettings link;
   link.source_timeout = settings_.source_timeout;
   link.backoff_base = settings_.backoff_base;
@@ -197,6 +198,7 @@
     if (configuration_.fresh()) MarkStale("other members declared this instance dead");
   }
   if (!has_sources_) RefreshSources();
+  TickWitnesses();
   link_->Tick();
   if (dependencies_.clock->Now() >= next_heartbeat_) {
     next_heartbeat_ = dependencies_.clock->Now() + settings_.fanout.heartbeat_period;
@@ -445,6 +447,7 @@
   status.serving = configuration_.serving();
   status.joined = settings_.seeds.empty() || membership_->joined() ||
                   now - started_at_ >= settings_.join_limit;
+  status.former_known = FormerKnown();
   status.quorum_backed = link_->quorum_backed();
   status.relay = relay_;
   if (quotas_) status.quota_coordinator = quotas_->coordinator();
--- a/src/libquetzal/distribution/node_distribution_core.h
+++ b/src/libquetzal/distribution/node_distribution_core.h
@@ -15,6 +15,7 @@
 #include "distribution/freshness_check.h"
 #include "distribution/node_configuration.h"
 #include "distribution/node_distribution.h"
+#include "distribution/record_witnesses.h"
 #include "distribution/source_link.h"
 #include "membership/membership.h"
 #include "membership/membership_link.h"
@@ -31,6 +32,7 @@
 
   void Start();
   void SetBackendServer(const BackendServer& server);
+  void AwaitHeld(Duration limit, std::function<void(bool held)> done);
   void AnnounceLeaving();
   void Leave(std::function<void()> done);
   void Stop();
@@ -55,6 +57,11 @@
   void TickLeaving();
   void RunMembership();
 
+  // Members that hold this node's record (node_distribution_core_witnesses.cc).
+  void TickWitnesses();
+  void AskWitness(const Endpoint& witness);
+  bool FormerKnown() const;
+
   void OnMembershipChanged();
   void EmitMemberEvents();
   void RefreshTargets();
@@ -104,7 +111,17 @@
   CredentialLease credential_lease_;
   NodeConfiguration configuration_;
   FreshnessCheck freshness_check_;
+  /// A caller of AwaitHeld.
+  struct HoldWait {
+    RecordNumber record;
+    SteadyTime until;
+    std::function<void(bool held)> done;
+  };
+
   std::unique_ptr<Membership> membership_;
+  std::unique_ptr<RecordWitnesses> witnesses_;
+  std::vector<HoldWait> hold_waits_;
+  bool asked_witnesses_ = false;  ///< A majority has answered since the start.
   std::shared_ptr<MembershipLink> membership_link_;
   std::shared_ptr<SourceLink> link_;
   std::unique_ptr<Fanout> fanout_;
--- a/src/libquetzal/membership/membership.cc
+++ b/src/libquetzal/membership/membership.cc
@@ -128,7 +128,12 @@
   known_ = LaterOf(known_, received.known());
   const bool disseminate =
       static_cast<std::size_t>(received.members_size()) <= kMaxGossipAfterExchange;
-  for (const Member& member : received.members()) Apply(member, disseminate);
+  for (const Member& member : received.members()) {
+    Apply(member, disseminate);
+    if (member.instance() == received.sender() && HoldsAsSent(member)) {
+      answer.set_holds_record(true);
+    }
+  }
   if (received.bucket_digests_size() != static_cast<int>(MemberTable::kBuckets)) {
     return answer.SerializeAsString();
   }
@@ -150,14 +155,7 @@
   TableExchange answer;
   if (!answer.ParseFromString(reply)) return;
   known_ = LaterOf(known_, answer.known());
-  if (answer.has_observations()) former_observations_ = answer.observations();
-  // The peer knows a higher incarnation of this name: Refute() exceeds it, or sets
-  // identity_taken_over_.
-  if (answer.heard_incarnation() > self_.incarnation()) {
-    Member death_report = MakeThirdPartyReport(self_, MEMBER_DEAD);
-    death_report.set_incarnation(answer.heard_incarnation());
-    Refute(death_report);
-  }
+  LearnOfSelf(answer);
   const bool disseminate = joined_ && static_cast<std::size_t>(answer.members_size()) <=
                                           kMaxGossipAfterExchange;
   std::map<std::string, const Member*> theirs;
@@ -180,6 +178,41 @@
   actions_.push_back({MembershipAction::Kind::kExchange, peer, push.SerializeAsString()});
 }
 
+void Membership::LearnOfSelf(const TableExchange& answer) {
+  if (answer.has_observations()) former_observations_ = answer.observations();
+  // The peer knows a higher incarnation of this name: Refute() exceeds it, or sets
+  // identity_taken_over_.
+  if (answer.heard_incarnation() <= self_.incarnation()) return;
+  Member death_report = MakeThirdPartyReport(self_, MEMBER_DEAD);
+  death_report.set_incarnation(answer.heard_incarnation());
+  Refute(death_report);
+}
+
+std::string Membership::MakeRecordRequest() const {
+  TableExchange request;
+  request.set_sender(self_.instance());
+  *request.mutable_known() = LaterOf(known_, applied_version_);
+  *request.add_members() = self_;
+  return request.SerializeAsString();
+}
+
+bool Membership::OnRecordReply(const std::string& reply) {
+  TableExchange answer;
+  if (!answer.ParseFromString(reply)) return false;
+  LearnOfSelf(answer);
+  return answer.holds_record();
+}
+
+/// A report by others may carry the number of a record that this instance has not got.
+bool Membership::HoldsAsSent(const Member& record) const {
+  const MemberTable::Entry* entry = table_.Find(record.instance());
+  if (entry == nullptr || IsNewer(record, entry->member)) return false;
+  const ServerObservations& sent = record.server().observations();
+  const ServerObservations& held = entry->member.server().observations();
+  return !record.server().has_observations() ||
+         sent.SerializeAsString() == held.SerializeAsString();
+}
+
 void Membership::ExpectMissedUpdates() {
   missed_updates_ = true;
   next_exchange_ = clock_->Now();
--- a/src/libquetzal/membership/membership.h
+++ b/src/libquetzal/membership/membership.h
@@ -69,6 +69,13 @@
   /// Merges the answer to an exchange; may start a second one to push newer records.
   void OnExchangeReply(const Endpoint& peer, const std::string& reply);
 
+  /// Returns a TableExchange that asks a peer to hold this instance's record.
+  std::string MakeRecordRequest() const;
+
+  /// Handles the answer to MakeRecordRequest; returns true when the peer holds the
+  /// record.
+  bool OnRecordReply(const std::string& reply);
+
   /// Adds gossip addresses at which members may be found.
   void AddSeeds(const std::vector<Endpoint>& seeds);
 
@@ -161,6 +168,9 @@
   void Declare(const MemberTable::Entry& entry, MemberState state);
   void Send(const Endpoint& to, bool local, GossipDatagram* datagram);
   void StartExchange(const Endpoint& stream_address);
+  bool HoldsAsSent(const Member& record) const;
+  /// Learns what a peer knows of earlier processes of this instance.
+  void LearnOfSelf(const TableExchange& answer);
   bool IsLocal(const Member& member) const;
   Entries Select(bool local, bool remote, const std::string& except) const;
 
--- a/src/libquetzal/membership/membership_link.cc
+++ b/src/libquetzal/membership/membership_link.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr Duration kExchangeTimeout = std::chrono::seconds(2);
+constexpr Duration kRecordTimeout = std::chrono::milliseconds(500);
 constexpr char kExchangeMethod[] = "/membership/exchange";
 
 /// Tells the kind without parsing the datagram: it is the first field that is written.
@@ -67,6 +68,20 @@
   }
 }
 
+void MembershipLink::ExchangeRecord(const Endpoint& peer,
+                                    std::function<void(bool held)> done) {
+  dependencies_.rpc_client->Call(
+      peer, kExchangeMethod, membership_->MakeRecordRequest(), kRecordTimeout,
+      [weak = weak_from_this(), executor = dependencies_.executor,
+       done = std::move(done)](ResultCode code, const std::string& body) {
+        executor->Post([weak, code, body, done] {
+          auto self = weak.lock();
+          if (self == nullptr || self->stopped_) return;
+          done(code == ResultCode::kOk && self->membership_->OnRecordReply(body));
+        });
+      });
+}
+
 void MembershipLink::Exchange(const MembershipAction& action) {
   dependencies_.rpc_client->Call(
       action.to, kExchangeMethod, action.bytes, kExchangeTimeout,
--- a/src/libquetzal/membership/membership_link.h
+++ b/src/libquetzal/membership/membership_link.h
@@ -42,6 +42,9 @@
   /// Sends a datagram that does not concern the membership.
   void Send(const Endpoint& to, std::string bytes);
 
+  /// Asks `peer` to hold this instance's record. Calls `done` on the executor.
+  void ExchangeRecord(const Endpoint& peer, std::function<void(bool held)> done);
+
   /// Carries out the pending actions of the membership.
   void Run();
 
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -117,7 +117,9 @@
   server.service = heartbeat.service;
   server.address = heartbeat.address;
   server.slots = heartbeat.slots;
-  server.state = departed || heartbeat.leaving ? SERVER_LEAVING : SERVER_UP;
+  server.state = departed || heartbeat.leaving ? SERVER_LEAVING
+                 : awaits_former_              ? SERVER_STARTING
+                                               : SERVER_UP;
   server.id = heartbeat.id;
   server.version = heartbeat.version;
   SetServerLocked(std::move(server));
@@ -145,6 +147,20 @@
   ApplyDepartureLocked();
 }
 
+void BackendServerMonitor::AwaitFormerObservations() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  awaits_former_ = true;
+}
+
+void BackendServerMonitor::FormerObservationsKnown() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  awaits_former_ = false;
+  if (server_.state != SERVER_STARTING) return;
+  LocalBackendServer server = server_;
+  server.state = SERVER_UP;
+  SetServerLocked(std::move(server));
+}
+
 void BackendServerMonitor::RecordFormerObservations(
     const ServerObservations& observations) {
   std::lock_guard<std::mutex> lock(mutex_);
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -55,6 +55,12 @@
   /// Records that an answer of the server process `id` says that it leaves.
   void RecordLeavingAnswer(const std::string& id);
 
+  /// From now on a server is not used before FormerObservationsKnown().
+  void AwaitFormerObservations();
+
+  /// All that earlier runs of this node have acknowledged is recorded.
+  void FormerObservationsKnown();
+
   /// Adds what an earlier run of this node observed, unless it is known already.
   void RecordFormerObservations(const ServerObservations& observations);
 
@@ -107,6 +113,7 @@
   CrashDetector crash_detector_;
   CrashLog crash_log_;
   std::uint64_t crashes_ = 0;
+  bool awaits_former_ = false;
   bool stopped_ = false;
 };
 
--- a/src/libquetzal/node/server_interface.h
+++ b/src/libquetzal/node/server_interface.h
@@ -5,7 +5,7 @@
 
 #include "kernel/plugin_registry.h"
 #include "net/admin_server.h"
-#include "node/backend_server_monitor.h"
+#include "node/server_reports.h"
 
 namespace quetzal {
 
@@ -23,7 +23,7 @@
 
 /// Dependencies of a server interface, which they outlive.
 struct ServerInterfaceDependencies {
-  BackendServerMonitor* backend = nullptr;
+  ServerReports* reports = nullptr;
   std::string service;             ///< The only service that may be announced.
   std::function<bool()> is_ready;  ///< Whether the node accepts callers.
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -41,6 +41,9 @@
 /// Heartbeats that may be missed before the backend server counts as down.
 constexpr int kMissedHeartbeats = 4;
 
+/// Backend servers wait for one second for an acknowledgement.
+constexpr std::chrono::milliseconds kHoldLimit{800};
+
 /// Part of --stop-limit-ms that is reserved for sending the last answers and ending the
 /// process.
 constexpr std::chrono::milliseconds kStopMargin{300};
@@ -225,6 +228,13 @@
   backend_monitor_ = std::make_unique<BackendServerMonitor>(
       AnnouncementTimeout(settings), clock_, events_,
       [this](const LocalBackendServer& server) { SetBackendServer(server); });
+  if (!settings.Text("server-interface").empty()) {
+    backend_monitor_->AwaitFormerObservations();
+  }
+  server_reports_ = std::make_unique<ServerReports>(
+      backend_monitor_.get(), [this](std::function<void(bool held)> done) {
+        distribution_->AwaitHeld(kHoldLimit, std::move(done));
+      });
   distribution_->Start();
   poll_timer_ = node_executor_->Every(kPollPeriod, [this] { Poll(); });
 }
@@ -245,7 +255,7 @@
   if (name.empty()) return;
   server_interface_ = ServerInterfaceRegistry::Instance().Create(
       name, ServerInterfaceDependencies{
-                backend_monitor_.get(), settings.Text("service"), [this] {
+                server_reports_.get(), settings.Text("service"), [this] {
                   const NodeDistribution::Status status = distribution_->status();
                   return !stop_requested_ && status.serving && status.joined &&
                          distribution_->routing().credentials_proved();
@@ -280,6 +290,10 @@
 
 void Node::Poll() {
   backend_monitor_->Tick();
+  if (!former_known_ && distribution_->status().former_known) {
+    former_known_ = true;
+    backend_monitor_->FormerObservationsKnown();
+  }
   const auto snapshot = distribution_->routing().snapshot();
   // Callers that come before the backend servers of the fleet are known would be refused.
   if (snapshot && !accepting_ && distribution_->status().joined) StartAccepting();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -29,6 +29,7 @@
 #include "node/backend_server_monitor.h"
 #include "node/node_admin.h"
 #include "node/server_interface.h"
+#include "node/server_reports.h"
 #include "quotas/team_limiter.h"
 
 namespace quetzal {
@@ -116,6 +117,7 @@
   std::unique_ptr<QuorumKeyRecords> keys_;
   std::unique_ptr<CallPath> calls_;
   std::unique_ptr<BackendServerMonitor> backend_monitor_;
+  std::unique_ptr<ServerReports> server_reports_;
   std::unique_ptr<MetricsFormat> metrics_;
   std::unique_ptr<AdminServer> admin_;
   std::unique_ptr<CallDialect> dialect_;
@@ -124,6 +126,7 @@
   std::unique_ptr<AdminServer> readiness_server_;
   std::unique_ptr<Timer> poll_timer_;
   std::shared_ptr<const CrashingRequests> crashing_;  ///< Used by Poll() only.
+  bool former_known_ = false;  ///< Told to the monitor; used by Poll() only.
   Version keys_version_;  ///< Version last given to key_holder_; used by Poll() only.
 };
 
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -169,6 +169,29 @@
 }
 
 // Guards against the loss of a departure when a member tells of an earlier one.
+// Guards against a late heartbeat that arrives before other members have told what the
+// earlier run had acknowledged.
+TEST_F(HeartbeatOrderTest, AServerIsNotUsedBeforeFormerDeparturesAreKnown) {
+  monitor_.AwaitFormerObservations();
+  SendHeartbeat("i-1", kFirstStart, 4);
+  EXPECT_EQ(state(), SERVER_STARTING);
+  RecordFormerDeparture("i-1", kFirstStart);
+  EXPECT_EQ(state(), SERVER_LEAVING);
+  monitor_.FormerObservationsKnown();
+  EXPECT_EQ(state(), SERVER_LEAVING);
+  SendHeartbeat("i-1", kSecondStart, 1);
+  EXPECT_EQ(state(), SERVER_UP) << "it started again under its id";
+}
+
+TEST_F(HeartbeatOrderTest, AServerIsUsedOnceFormerDeparturesAreKnown) {
+  monitor_.AwaitFormerObservations();
+  SendHeartbeat("i-1", kFirstStart, 4);
+  monitor_.FormerObservationsKnown();
+  EXPECT_EQ(state(), SERVER_UP);
+  SendHeartbeat("i-1", kFirstStart, 5);
+  EXPECT_EQ(states_, (std::vector<ServerState>{SERVER_STARTING, SERVER_UP}));
+}
+
 TEST_F(HeartbeatOrderTest, AFormerDepartureDoesNotReplaceALaterOne) {
   SendHeartbeat("i-2", kSecondStart, 1, true);
   RecordFormerDeparture("i-1", kFirstStart);
--- a/tests/platform/interfaces_test.cc
+++ b/tests/platform/interfaces_test.cc
@@ -1,3 +1,5 @@
+#include <deque>
+
 #include <gtest/gtest.h>
 
 #include "control/control_fakes.h"
@@ -114,10 +116,16 @@
   NullEventLog events_;
   BackendServerMonitor monitor_{std::chrono::seconds(6), &clock_, &events_,
                                 [](const LocalBackendServer&) {}};
+  std::deque<std::function<void(bool)>> holds_;  ///< Departures not yet held by others.
+  bool held_ = true;                             ///< Others hold departures at once.
+  ServerReports reports_{&monitor_, [this](std::function<void(bool)> done) {
+                           if (held_) return done(true);
+                           holds_.push_back(std::move(done));
+                         }};
   bool ready_ = false;
   std::unique_ptr<ServerInterface> interface_ =
       ServerInterfaceRegistry::Instance().Create(
-          "platform", {&monitor_, "desk", [this] { return ready_; }});
+          "platform", {&reports_, "desk", [this] { return ready_; }});
 };
 
 TEST_F(ServerInterfaceTest, HeartbeatsAndLeavesReachTheMonitor) {
@@ -135,6 +143,28 @@
   EXPECT_EQ(monitor_.server().state, SERVER_LEAVING);
 }
 
+// Guards against an acknowledgement of which only this process knows: the next process of
+// the node would use the server again.
+TEST_F(ServerInterfaceTest, ADepartureIsAcknowledgedOnceOthersHoldIt) {
+  held_ = false;
+  EXPECT_EQ(SendHeartbeat("ready", 1), 200);
+  EXPECT_EQ(Ask("/api/instances/i-1/leave", ""), 0) << "no answer yet";
+  EXPECT_EQ(SendHeartbeat("draining", 2), 0);
+  EXPECT_EQ(monitor_.server().state, SERVER_LEAVING) << "it takes effect at once";
+  EXPECT_EQ(holds_.size(), 2U);
+}
+
+TEST_F(ServerInterfaceTest, ADepartureThatNobodyElseHoldsIsNotAcknowledged) {
+  held_ = false;
+  AdminRequest request{"POST", "/api/instances/i-1/leave", {}, ""};
+  int status = 0;
+  interface_->HandleServer(request,
+                           [&](const AdminResponse& reply) { status = reply.status; });
+  ASSERT_EQ(holds_.size(), 1U);
+  holds_.front()(false);
+  EXPECT_EQ(status, 503);
+}
+
 TEST_F(ServerInterfaceTest, InvalidRequestsChangeNothing) {
   EXPECT_EQ(SendHeartbeat("odd", 1), 400);
   EXPECT_EQ(SendHeartbeat("ready", 1, "another"), 400);
