HTTP/1: an answer that closes the connection goes before those behind it

Cause: a node that drains puts "connection: close" into its refusals, such as the 504 of a deadline that passed. Http1ServerConnection closed after that answer without regard to pipelined requests behind it, and dropped their answers. Answers of servers close only behind the last request.

Change: whatever asks to close takes effect after the requests that are in flight; only the last answer has "connection: close". No further request begins. An answer that is sent before the end of its own request still closes at once, as nothing can be served behind it.

AnAnswerThatClosesIsFollowedByTheAnswersBehindIt and NoRequestBeginsBehindAnAnswerThatCloses fail before.

--- a/src/plugins/http1_beast/http1_server_connection.cc
+++ b/src/plugins/http1_beast/http1_server_connection.cc
@@ -189,12 +189,8 @@
 
 void Http1ServerConnection::AnswerHead(const QueuedStream::Work& work) {
   const ExchangePtr front = exchanges_.front();
-  const bool is_last = exchanges_.size() == 1;
-  // An answer sent before the end of the request closes the connection, because the rest
-  // of the request is not read.
-  front->close = front->close || !front->request_done ||
-                 HeaderValue(work.headers, "connection") == "close" ||
-                 (is_last && (closing_ || manager_->draining()));
+  closing_ = closing_ || HeaderValue(work.headers, "connection") == "close";
+  front->close = ClosesAfter(*front);
   try {
     Write(front->writer.AnswerHead(StatusOf(work.headers), work.headers,
                                    !work.headers_end, front->http11, front->head_request,
@@ -210,6 +206,15 @@
   }
 }
 
+/// The requests behind `front` may have been answered already: whatever asks to close the
+/// connection takes effect after the last of them. An answer sent before the end of its
+/// request closes at once, because the rest of the request is not read.
+bool Http1ServerConnection::ClosesAfter(const Exchange& front) const {
+  const bool is_last = exchanges_.size() == 1;
+  return front.close || !front.request_done ||
+         (is_last && (closing_ || manager_->draining()));
+}
+
 void Http1ServerConnection::PumpAnswer() {
   const ExchangePtr front = exchanges_.front();
   try {
--- a/src/plugins/http1_beast/http1_server_connection.h
+++ b/src/plugins/http1_beast/http1_server_connection.h
@@ -69,6 +69,7 @@
   // Answers. Only the first exchange ("front") writes.
   void PumpFront();
   void AnswerHead(const QueuedStream::Work& work);
+  bool ClosesAfter(const Exchange& front) const;
   void PumpAnswer();
   void EndFront();
 
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -152,6 +152,42 @@
             "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
 }
 
+// Guards against an answer that asks to close the connection, such as a refusal of a node
+// that drains, and drops the answers behind it that are ready.
+TEST_F(Http1ServerTest, AnAnswerThatClosesIsFollowedByTheAnswersBehindIt) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nhost: h\r\n\r\n");
+  Accepted first = WaitAccepted();
+  Accepted second = WaitAccepted();
+  Accepted third = WaitAccepted();
+  second.stream->SendHeaders({{":status", "204"}}, true);
+  first.stream->SendHeaders(
+      {{":status", "504"}, {"connection", "close"}, {"content-length", "0"}}, true);
+  third.stream->SendHeaders({{":status", "204"}}, true);
+  EXPECT_EQ(caller.ReadAll(),
+            "HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 0\r\n\r\n"
+            "HTTP/1.1 204 No Content\r\n\r\n"
+            "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
+}
+
+TEST_F(Http1ServerTest, NoRequestBeginsBehindAnAnswerThatCloses) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nhost: h\r\n\r\n");
+  Accepted first = WaitAccepted();
+  Accepted second = WaitAccepted();
+  first.stream->SendHeaders({{":status", "204"}, {"connection", "close"}}, true);
+  caller.ReadUntil("\r\n\r\n");
+  caller.Send("GET /3 HTTP/1.1\r\nhost: h\r\n\r\n");
+  second.stream->SendHeaders({{":status", "204"}}, true);
+  EXPECT_EQ(caller.ReadAll(), "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
+  EXPECT_EQ(requests_, 2);
+}
+
 TEST_F(Http1ServerTest, MalformedRequestIsRefusedAfterThePrecedingAnswers) {
   RawCaller caller(endpoint_);
   caller.Send(
