HTTP/1: an answer that cannot be completed leaves those behind it

What callers would see: of pipelined requests, one whose answer was cut or malformed ended the connection even when nothing of that answer had been written, and the ready answers behind it were lost.

Cause: a reset of the first exchange aborted the connection, also before its head was sent, and an answer that cannot be written dropped all exchanges.

Change: before its head is sent, such an answer is replaced by an error answer (502 answer_cut or 500 internal_error), and the answers behind it follow. After its head is sent the connection ends, as the cut must be visible.

Measured: ACutAnswerIsFollowedByTheAnswersBehindIt fails before; AMalformedAnswerIsFollowedByTheAnswersBehindIt was written with the change.

--- a/src/plugins/http1_beast/http1_server_connection.cc
+++ b/src/plugins/http1_beast/http1_server_connection.cc
@@ -180,7 +180,7 @@
   const ExchangePtr front = exchanges_.front();
   const QueuedStream::Work work = front->stream->TakeWork();
   if (front == reading_) unconsumed_bytes_ -= std::min(unconsumed_bytes_, work.consumed);
-  if (work.reset) return Abort(work.reset_code);
+  if (work.reset) return FailAnswer(ResultCode::kAnswerCut, work.reset_code);
   if (work.has_headers && !front->head_sent) AnswerHead(work);
   if (state_ == State::kOpen && !closed() && front->head_sent && !front->answer_done) {
     PumpAnswer();
@@ -202,7 +202,7 @@
     front->answer_done = true;
   } catch (const Error&) {
     if (front->head_sent) return Abort(ResultCode::kAnswerCut);
-    Refuse(ResultCode::kInternalError);
+    FailAnswer(ResultCode::kInternalError, ResultCode::kInternalError);
   }
 }
 
@@ -215,6 +215,20 @@
          (is_last && (closing_ || manager_->draining()));
 }
 
+/// The answer of the first exchange cannot be completed; `reported` goes to its handler
+/// unless it is kOk. Before its head is sent it is replaced by an error answer with
+/// `code`, so that the answers behind it are still sent.
+void Http1ServerConnection::FailAnswer(ResultCode code, ResultCode reported) {
+  const ExchangePtr front = exchanges_.front();
+  if (front->head_sent || !front->request_done) return Abort(reported);
+  front->close = ClosesAfter(*front);
+  front->head_sent = true;
+  front->answer_done = true;
+  Write(MakeErrorAnswer(code, front->head_request, front->close));
+  const auto handler = std::exchange(front->handler, nullptr);
+  if (handler && reported != ResultCode::kOk) handler->OnReset(reported);
+}
+
 void Http1ServerConnection::PumpAnswer() {
   const ExchangePtr front = exchanges_.front();
   try {
--- a/src/plugins/http1_beast/http1_server_connection.h
+++ b/src/plugins/http1_beast/http1_server_connection.h
@@ -70,6 +70,7 @@
   void PumpFront();
   void AnswerHead(const QueuedStream::Work& work);
   bool ClosesAfter(const Exchange& front) const;
+  void FailAnswer(ResultCode code, ResultCode reported);
   void PumpAnswer();
   void EndFront();
 
--- a/src/plugins/http1_beast/http1_writer.cc
+++ b/src/plugins/http1_beast/http1_writer.cc
@@ -143,7 +143,7 @@
   framing_ = Framing::kNone;
 }
 
-std::string MakeErrorAnswer(ResultCode code) {
+std::string MakeErrorAnswer(ResultCode code, bool head_request, bool close) {
   const ResultCodeInfo& info = InfoOf(code);
   const std::string number = std::to_string(static_cast<int>(info.code));
   std::string body = "{\"code\":" + number + ",\"name\":\"" + std::string(info.name) +
@@ -155,8 +155,8 @@
                         {{"content-type", "application/json"},
                          {"x-quetzal-result", number + " " + std::string(info.name)},
                          {"content-length", std::to_string(body.size())}},
-                        true, true, false, true);
-  return out + body;
+                        true, true, head_request, close);
+  return head_request ? out : out + body;
 }
 
 }  // namespace quetzal
--- a/src/plugins/http1_beast/http1_writer.h
+++ b/src/plugins/http1_beast/http1_writer.h
@@ -47,8 +47,9 @@
 };
 
 /// Returns a complete error answer for `code`: status line, x-quetzal-result field, JSON
-/// body and "Connection: close".
-std::string MakeErrorAnswer(ResultCode code);
+/// body (unless it answers a HEAD request) and, with `close`, "Connection: close".
+std::string MakeErrorAnswer(ResultCode code, bool head_request = false,
+                            bool close = true);
 
 }  // namespace quetzal
 
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -173,6 +173,37 @@
             "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
 }
 
+// Guards against an answer that was cut while it waited for its turn and takes the
+// answers behind it along.
+TEST_F(Http1ServerTest, ACutAnswerIsFollowedByTheAnswersBehindIt) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "HEAD /2 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /4 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+  std::vector<Accepted> accepted;
+  for (int n = 0; n < 4; ++n) accepted.push_back(WaitAccepted());
+  for (int n = 1; n < 3; ++n) {
+    accepted[n].stream->SendHeaders({{":status", "200"}, {"content-length", "9"}}, false);
+    accepted[n].stream->SendData("four", false);
+    accepted[n].stream->Reset();
+  }
+  accepted[3].stream->SendHeaders({{":status", "204"}}, true);
+  accepted[0].stream->SendHeaders({{":status", "204"}}, true);
+  const std::string all = caller.ReadAll();
+  EXPECT_EQ(all.find("HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 502 "), 0U) << all;
+  EXPECT_EQ(all.find("HTTP/1.1 200"), std::string::npos) << all;
+  const std::size_t head = all.find("HTTP/1.1 502 ");
+  const std::size_t get = all.find("HTTP/1.1 502 ", head + 1);
+  const std::size_t head_end = all.find("\r\n\r\n", head);
+  EXPECT_EQ(get, head_end + 4) << "an answer to HEAD has no body";
+  const std::string last = "}HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n";
+  ASSERT_GE(all.size(), last.size());
+  EXPECT_EQ(all.substr(all.size() - last.size()), last);
+  EXPECT_EQ(all.find("connection: close"), all.rfind("connection: close"));
+}
+
 TEST_F(Http1ServerTest, NoRequestBeginsBehindAnAnswerThatCloses) {
   RawCaller caller(endpoint_);
   caller.Send(
@@ -274,6 +305,23 @@
   EXPECT_EQ(server_.open_streams(), 0U);
 }
 
+// Guards against an answer that cannot be written and takes the answers behind it along.
+TEST_F(Http1ServerTest, AMalformedAnswerIsFollowedByTheAnswersBehindIt) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+  Accepted first = WaitAccepted();
+  Accepted second = WaitAccepted();
+  second.stream->SendHeaders({{":status", "204"}}, true);
+  first.stream->SendHeaders({{":status", "200"}, {"x-field", "a\nb"}}, true);
+  EXPECT_EQ(first.handler->WaitReset(), ResultCode::kInternalError);
+  const std::string all = caller.ReadAll();
+  EXPECT_EQ(all.find("HTTP/1.1 500 "), 0U) << all;
+  EXPECT_NE(all.find("HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n"),
+            std::string::npos);
+}
+
 TEST_F(Http1ServerTest, HalfCloseWithinARequestResetsItsHandler) {
   RawCaller caller(endpoint_);
   caller.Send("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nfour");
