HTTP/1: a half-closed caller gets the answers before its cut request

What callers would see: a caller that shut down its side within a request lost the answers to the complete requests before it, where a half-close does not cancel.

Cause: ReadEnded aborted the connection whenever a request was being read.

Change: only the request that was not completed is given up.

Measured: HalfCloseWithinARequestLeavesTheAnswersBeforeIt fails before and passes now.

--- a/src/plugins/http1_beast/http1_server_connection.cc
+++ b/src/plugins/http1_beast/http1_server_connection.cc
@@ -320,8 +320,14 @@
 }
 
 void Http1ServerConnection::ReadEnded(bool orderly) {
-  const bool served = state_ == State::kOpen && !exchanges_.empty() && !reading_ &&
-                      !manager_->options().half_close_cancels;
+  const bool serves =
+      orderly && state_ == State::kOpen && !manager_->options().half_close_cancels;
+  // The request that was not completed is given up; those before it are still answered.
+  if (serves && reading_ && exchanges_.size() > 1) {
+    exchanges_.pop_back();
+    Drop(std::exchange(reading_, nullptr), ResultCode::kConnectionLost);
+  }
+  const bool served = serves && !exchanges_.empty() && !reading_;
   if (!orderly || !(served || state_ == State::kRefused)) {
     return Abort(ResultCode::kConnectionLost);
   }
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -305,6 +305,20 @@
   EXPECT_EQ(server_.open_streams(), 0U);
 }
 
+// Guards against answers that are dropped because a later request was not completed.
+TEST_F(Http1ServerTest, HalfCloseWithinARequestLeavesTheAnswersBeforeIt) {
+  RawCaller caller(endpoint_);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nfour");
+  Accepted first = WaitAccepted();
+  Accepted second = WaitAccepted();
+  caller.EndSending();
+  EXPECT_EQ(second.handler->WaitReset(), ResultCode::kConnectionLost);
+  first.stream->SendHeaders({{":status", "204"}}, true);
+  EXPECT_EQ(caller.ReadAll(), "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
+}
+
 // Guards against an answer that cannot be written and takes the answers behind it along.
 TEST_F(Http1ServerTest, AMalformedAnswerIsFollowedByTheAnswersBehindIt) {
   RawCaller caller(endpoint_);
