Agreement: malformed addresses stay out of the log

What could happen: an instance that is being added answers with an address that cannot be parsed, such as one with port 65536. It was written into the log as a learner, and each instance that read the group from the log ended with an uncaught error, again at every start.

Cause: the address of a hello was not checked, nor were those of a group that a leader sends; AgreementService parsed them and let the error through.

Change: such an instance is not added (connect_failed), such an entry is not appended, and a group that an earlier build has stored so is read with an address that nobody answers.

Measured: AnInstanceWithAMalformedAddressIsNotAdded and AGroupWithAMalformedAddressIsNotAppended fail before.

--- a/src/libquetzal/agreement/agreement_service.cc
+++ b/src/libquetzal/agreement/agreement_service.cc
@@ -9,6 +9,7 @@
 #include "agreement/raft_core.h"
 #include "agreement/replica_set.h"
 #include "base/result_code.h"
+#include "membership/endpoint_text.h"
 
 namespace quetzal {
 namespace {
@@ -409,8 +410,8 @@
       view_.replicas = replicas;
       view_.group.clear();
       for (const Replica& it : replicas.replicas()) {
-        view_.group.push_back(
-            {it.name(), ParseEndpoint(it.address()), it.voter(), false});
+        const Endpoint endpoint = TryEndpoint(it.address()).value_or(Endpoint{});
+        view_.group.push_back({it.name(), endpoint, it.voter(), false});
       }
     }
     for (int n = 0; n < replicas.replicas_size(); ++n) {
--- a/src/libquetzal/agreement/raft_core_follower.cc
+++ b/src/libquetzal/agreement/raft_core_follower.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "agreement/raft_core.h"
+#include "agreement/replica_set.h"
 
 namespace quetzal {
 
@@ -24,8 +25,9 @@
     if (it.index() != ++index || it.term() < term || it.term() > message.term()) {
       return false;
     }
+    ReplicaSet set;
     if (it.kind() == LOG_ENTRY_MEMBERSHIP &&
-        !ReplicaSet().ParseFromString(it.payload())) {
+        !(set.ParseFromString(it.payload()) && IsWellFormed(set))) {
       return false;
     }
     // A message must never overwrite a committed entry.
--- a/src/libquetzal/agreement/raft_core_membership.cc
+++ b/src/libquetzal/agreement/raft_core_membership.cc
@@ -121,6 +121,9 @@
   if (MembershipChangeBlocked()) return;
   ReplicaSet set = log_.replicas();
   AddLearner(&set, LearnerOf(hello));
+  if (!IsWellFormed(set)) {
+    return EndMembershipStep(ResultCode::kConnectFailed, "its address is malformed");
+  }
   ProposeReplicas(set);
   EndMembershipStep(ResultCode::kOk, "");
   Report(CoreEventKind::kReplicaAdmitted, hello.from());
--- a/src/libquetzal/agreement/replica_set.cc
+++ b/src/libquetzal/agreement/replica_set.cc
@@ -1,5 +1,7 @@
 #include "agreement/replica_set.h"
 
+#include "membership/endpoint_text.h"
+
 namespace quetzal {
 namespace {
 
@@ -41,6 +43,12 @@
   return n > VoterCount(set) / 2;
 }
 
+bool IsWellFormed(const ReplicaSet& set) {
+  return std::all_of(set.replicas().begin(), set.replicas().end(), [](const Replica& it) {
+    return TryEndpoint(it.address()).has_value();
+  });
+}
+
 bool SameReplicas(const ReplicaSet& a, const ReplicaSet& b) {
   return std::equal(a.replicas().begin(), a.replicas().end(), b.replicas().begin(),
                     b.replicas().end(), [](const Replica& left, const Replica& right) {
--- a/src/libquetzal/agreement/replica_set.h
+++ b/src/libquetzal/agreement/replica_set.h
@@ -26,6 +26,9 @@
 bool MajoritySatisfies(const ReplicaSet& set,
                        const std::function<bool(std::uint64_t id)>& predicate);
 
+/// False when the address of a replica cannot be used.
+bool IsWellFormed(const ReplicaSet& set);
+
 bool SameReplicas(const ReplicaSet& a, const ReplicaSet& b);
 
 /// `set` without the replica `id`.
--- a/tests/agreement/session_test.cc
+++ b/tests/agreement/session_test.cc
@@ -199,6 +199,60 @@
   EXPECT_EQ(steps.front().code, ResultCode::kConnectFailed);
 }
 
+// Guards against an address in the log that ends every instance at each start.
+TEST(AgreementSession, AnInstanceWithAMalformedAddressIsNotAdded) {
+  for (const char* address : {"", "127.0.0.1:65536", "127.0.0.1:-1",
+                              "127.0.0.1:", "127.0.0.1:99999999999999999999", "[[[[:1"}) {
+    Cluster group(3, 17, TestOptions());
+    ASSERT_TRUE(group.AwaitLeader());
+    group.Run(milliseconds(200));
+    RaftCore& core = *group.at(*group.LeaseHolder()).core;
+    core.ProposeMembership(MembershipChangeKind::kAdd, {"d", {"127.0.0.1", 4}});
+    core.TakeOutput();
+    AgreementMessage reply;
+    reply.set_to(core.replica());
+    reply.set_from(77);
+    reply.set_from_name("d");
+    reply.set_from_address(address);
+    reply.mutable_hello_reply()->set_fresh(true);
+    core.Receive(reply);
+    const auto steps = core.TakeOutput().membership_steps;
+    ASSERT_EQ(steps.size(), 1u);
+    EXPECT_EQ(steps.front().code, ResultCode::kConnectFailed) << address;
+    EXPECT_EQ(core.log().replicas().replicas_size(), 3);
+  }
+}
+
+TEST(AgreementSession, AGroupWithAMalformedAddressIsNotAppended) {
+  Cluster group(3, 18, TestOptions());
+  ASSERT_TRUE(group.AwaitLeader());
+  group.Run(milliseconds(200));
+  const std::size_t leader = *group.LeaseHolder();
+  const RaftCore& leading = *group.at(leader).core;
+  const std::size_t at = (leader + 1) % 3;
+  RaftCore& core = *group.at(at).core;
+  ReplicaSet set = core.log().replicas();
+  set.mutable_replicas(0)->set_address("127.0.0.1:65536");
+  AgreementMessage message;
+  message.set_to(core.replica());
+  message.set_from(leading.replica());
+  message.set_from_name(group.at(leader).name);
+  message.set_from_address("127.0.0.1:1");
+  message.set_term(core.term());
+  AppendRequest* append = message.mutable_append();
+  append->set_previous_index(core.log().last_index());
+  append->set_previous_term(core.log().last_term());
+  LogEntry* entry = append->add_entries();
+  entry->set_term(core.term());
+  entry->set_index(core.log().last_index() + 1);
+  entry->set_kind(LOG_ENTRY_MEMBERSHIP);
+  entry->set_payload(set.SerializeAsString());
+  const std::uint64_t before = core.log().last_index();
+  core.Receive(message);
+  EXPECT_EQ(core.log().last_index(), before);
+  EXPECT_EQ(core.refused_messages(), 1u);
+}
+
 /// An entry of an earlier term may be replaced by a later leader although a majority has
 /// it, so the count of replicas alone must not commit it.
 TEST(AgreementSession, AnEntryOfAnEarlierTermIsNotCommittedByCounting) {
