Nodes: heartbeats with implausible numbers are malformed

What could happen: one heartbeat of another writer, with a sequence number of 2^64 - 1 or a start in the far future, was acknowledged. All later heartbeats of the server then counted as late or of a former incarnation, and the server was taken out for good.

--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -12,6 +12,9 @@
 constexpr std::size_t kMaxNameBytes = 64;
 constexpr std::uint32_t kMaxSlots = 100000;
 
+/// Clocks of a backend server and its node differ by less.
+constexpr std::chrono::hours kMaxClockDifference{1};
+
 using Json = nlohmann::json;
 
 [[noreturn]] void ThrowMalformed(const std::string& what) {
@@ -88,6 +91,9 @@
 void BackendServerMonitor::RecordHeartbeat(const ServerHeartbeat& heartbeat) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
+  if (heartbeat.start_time > WallMillis() + kMaxClockDifference) {
+    ThrowMalformed("the start of the server is in the future");
+  }
   const bool departed = departed_.Contains(heartbeat.id, heartbeat.start_time);
   if (heartbeat.leaving) departed_.Add({heartbeat.id, heartbeat.start_time});
   if (heartbeat.start_time < heartbeat_.start_time) {
@@ -132,12 +138,15 @@
   events_->Emit({"server.leave", {{"server", id}, {"known", known ? "true" : "false"}}});
   // A node that has just started may hear of the leave before any heartbeat. A later
   // incarnation with this id starts after now.
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      clock_->WallNow().time_since_epoch());
-  departed_.Add({id, known ? heartbeat_.start_time : now});
+  departed_.Add({id, known ? heartbeat_.start_time : WallMillis()});
   ApplyDepartureLocked();
 }
 
+std::chrono::milliseconds BackendServerMonitor::WallMillis() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock_->WallNow().time_since_epoch());
+}
+
 void BackendServerMonitor::RecordLeavingAnswer(const std::string& id) {
   std::lock_guard<std::mutex> lock(mutex_);
   // The answer may be of a process that another one has replaced.
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -45,7 +45,8 @@
 
   /// Records a heartbeat. Ignores one that is older than the latest recorded one; an
   /// incarnation that is leaving stays so, whatever the order of arrival. Throws
-  /// Error(kNodeStopping) after Stop().
+  /// Error(kRequestMalformed) for a start far in the future, which would be later than
+  /// those of all heartbeats to come, and Error(kNodeStopping) after Stop().
   void RecordHeartbeat(const ServerHeartbeat& heartbeat);
 
   /// Records that the server process `id` leaves, also before its first heartbeat. Throws
@@ -93,6 +94,7 @@
   std::uint64_t crashes() const;
 
  private:
+  std::chrono::milliseconds WallMillis() const;
   void SetServerLocked(LocalBackendServer server);
   ServerObservations ObservationsLocked() const;
   void RecordFormerDepartureLocked(const BackendDeparture& departure);
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -219,6 +219,18 @@
   EXPECT_EQ(state(), SERVER_LEAVING);
 }
 
+// Guards against a heartbeat of another writer that makes all later ones count as late.
+TEST_F(HeartbeatOrderTest, AHeartbeatFromTheFutureIsMalformed) {
+  SendHeartbeat("i-1", kFirstStart, 1);
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      clock_.WallNow().time_since_epoch());
+  EXPECT_THROW(SendHeartbeat("i-1", now + std::chrono::hours(2), 1), Error);
+  SendHeartbeat("i-1", kFirstStart, 2, true);
+  EXPECT_EQ(state(), SERVER_LEAVING);
+  SendHeartbeat("i-2", now + std::chrono::seconds(5), 1);
+  EXPECT_EQ(state(), SERVER_UP) << "clocks differ by seconds";
+}
+
 TEST_F(HeartbeatOrderTest, AnUnreachableServerIsDownUntilTheNextHeartbeat) {
   SendHeartbeat("i-2", kSecondStart, 1);
   monitor_.MarkUnreachable();
--- a/tests/node/node_process_test.cc
+++ b/tests/node/node_process_test.cc
@@ -149,6 +149,69 @@
             std::string::npos);
 }
 
+/// A port that is free now.
+Endpoint FreeEndpoint() {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(
+      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+// Guards against a heartbeat of another writer that ends the process or keeps it from
+// hearing its own server.
+TEST(NodeProcessTest, OddHeartbeatsLeaveTheOthersInForce) {
+  const Endpoint heartbeats = FreeEndpoint();
+  NodeProcess node({{"service", "desk"},
+                    {"server-interface", "platform"},
+                    {"heartbeats", heartbeats.ToString()}});
+  node.WaitStarted();
+  const auto send = [&](const std::string& fields) {
+    return Ask(heartbeats, "POST /api/instances/i-1/heartbeat", fields)
+        .substr(0, std::string("HTTP/1.1 200").size());
+  };
+  const auto heartbeat = [](const std::string& addr, const std::string& slots,
+                            const std::string& sequence, const std::string& born) {
+    return R"({"service":"desk","state":"ready","addr":")" + addr + R"(","slots":)" +
+           slots + R"(,"seq":)" + sequence + R"(,"born":)" + born + "}";
+  };
+  const std::string addr = "127.0.0.1:9";
+  const std::string good = heartbeat(addr, "6", "1", "1784739888000");
+  EXPECT_EQ(send(good), "HTTP/1.1 200");
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  std::string deep_object;
+  for (int n = 0; n < 100'000; ++n) deep_object += R"({"a":)";
+  for (const std::string& odd : {
+           deep,
+           deep_object,
+           deep_object + "1" + std::string(100'000, '}'),
+           heartbeat(addr, deep, "2", "1784739888000"),
+           heartbeat(addr, "6", "1e999", "1784739888000"),
+           heartbeat(addr, "6", "18446744073709551615", "1784739888000"),
+           heartbeat(addr, "6", "99999999999999999999999", "1784739888000"),
+           heartbeat(addr, "6", "2", "-1"),
+           heartbeat(addr, "6", "2", "1e18"),
+           heartbeat(addr, "6", "2", "4000000000000000"),
+           heartbeat(addr, "-6", "2", "1784739888000"),
+           heartbeat(addr, "1e30", "2", "1784739888000"),
+           heartbeat("127.0.0.1:65536", "6", "2", "1784739888000"),
+           heartbeat("127.0.0.1:-1", "6", "2", "1784739888000"),
+           heartbeat("127.0.0.1:99999999999999999999", "6", "2", "1784739888000"),
+           heartbeat("127.0.0.1:", "6", "2", "1784739888000"),
+           std::string("\xff\xfe{"),
+       }) {
+    EXPECT_EQ(send(odd), "HTTP/1.1 400") << odd.substr(0, 120);
+  }
+  // Nesting in a field that nobody reads.
+  std::string with_unknown_field = heartbeat(addr, "6", "3", "1784739888000");
+  with_unknown_field.insert(1, "\"x\":" + deep + ",");
+  EXPECT_EQ(send(with_unknown_field), "HTTP/1.1 200");
+  EXPECT_EQ(send(heartbeat(addr, "7", "4", "1784739888000")), "HTTP/1.1 200");
+  EXPECT_NE(Ask(node.address("admin"), "GET /v1/status").find("\"slots\":7"),
+            std::string::npos);
+  node.Signal(SIGTERM);
+  EXPECT_EQ(node.Wait(), kExitOk);
+}
+
 TEST(NodeProcessTest, TakenPortHasItsExitCode) {
   NodeProcess first({});
   first.WaitStarted();
--- a/tests/platform/order_codec_test.cc
+++ b/tests/platform/order_codec_test.cc
@@ -170,6 +170,29 @@
   }
 }
 
+// Guards against an order whose nesting or numbers end the process.
+TEST(OrderCodecTest, DeepNestingAndLargeNumbersAreRefused) {
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  std::string objects;
+  for (int n = 0; n < 100'000; ++n) objects += R"({"routes":)";
+  const std::string head = R"({"version":"00000007","baseVersion":"00000005",)";
+  for (const std::string& odd : {
+           deep,
+           objects,
+           objects + "1" + std::string(100'000, '}'),
+           head + R"("services":[],"routes":)" + deep + "}",
+           head + R"("services":)" + deep + R"(,"routes":[]})",
+           head + R"("services":[{"name":"a","maxConns":1e999}],"routes":[]})",
+           head + R"("services":[{"name":"a","maxConns":18446744073709551616}],)" +
+               R"("routes":[]})",
+           head + R"("services":[{"name":"a","maxConns":-1}],"routes":[]})",
+       }) {
+    EXPECT_THROW(DecodeOrder(odd), Error) << odd.substr(0, 120);
+  }
+  const std::string unread = head + R"("services":[],"routes":[],"x":)" + deep + "}";
+  EXPECT_EQ(DecodeOrder(unread).document, unread);
+}
+
 TEST(OrderCodecTest, ArbitraryBytesDecodeOrAreMalformed) {
   EXPECT_TRUE(rc::check([](const std::string& bytes) { FaultsOf(bytes); }));
   EXPECT_TRUE(rc::check([] {
