HTTP/1: a repeated refusal proves nothing about a later request

What could happen: a server writes an earlier refusal once more on a kept connection, without the field that names its request, or the same request is tried again at that server and the refusal names it too. The node took the copy for the answer to the current request and told its caller "not run", or sent the request to a second server, while the first one ran it.

Cause: an answer without its echo field counted as the answer to the current request, whatever had been sent on the connection before; a connection was used again for a request whose earlier refusal might still be repeated there.

Change: on a connection that has been used, an answer that does not name its request is cut (outcome unknown, connection closed). A request whose id was sent on a connection before takes another connection. The first answer of a connection may still come without the field.

Measured: RepeatedRefusalTest.ItIsNoAnswerWhereItNamesNoRequest and ARequestThatIsTriedAgainUsesAnotherConnection fail before. Copies that name another request or come in one segment with their original were skipped before.

--- a/src/plugins/http1_beast/http1_client_connection.cc
+++ b/src/plugins/http1_beast/http1_client_connection.cc
@@ -36,6 +36,9 @@
 /// server in trouble may send them without end.
 constexpr std::size_t kMaxSkippedMessages = 16;
 
+/// Requests whose answers a server may repeat later on their connection.
+constexpr std::size_t kMaxEchoes = 16;
+
 [[noreturn]] void ThrowNoAnswer() {
   throw Error(ResultCode::kAnswerCut, "the answer does not begin");
 }
@@ -62,7 +65,9 @@
                if (self->closed()) return self->manager_->Start(stream);
                self->stream_ = stream;
                if (!self->connected_) return self->Connect();
-               if (self->IsReusable()) return self->SendRequest();
+               if (self->IsReusable() && !self->HasSentEchoOf(*stream)) {
+                 return self->SendRequest();
+               }
                self->stream_.reset();
                self->Fail(ResultCode::kOk);
                self->manager_->Start(stream);
@@ -132,6 +137,8 @@
   writer_ = Http1Writer();
   unconsumed_bytes_ = 0;
   sent_ = request_done_ = answer_begun_ = answer_done_ = keep_alive_ = false;
+  ++requests_;
+  RecordEcho();
   std::string head;
   try {
     head = writer_.RequestHead(method, stream_->path, peer_.ToString(), stream_->headers,
@@ -205,10 +212,26 @@
   stream_->handler->OnHeaders(std::move(head.headers));
 }
 
-/// True for a late answer to an earlier request, recognised by its echo field.
+bool Http1ClientConnection::HasSentEchoOf(const Http1ClientStream& stream) const {
+  return !stream.echo_name.empty() &&
+         std::find(echoes_.begin(), echoes_.end(), stream.echo_value) != echoes_.end();
+}
+
+void Http1ClientConnection::RecordEcho() {
+  if (stream_->echo_name.empty()) return;
+  if (echoes_.size() >= kMaxEchoes) echoes_.pop_front();
+  echoes_.push_back(stream_->echo_value);
+}
+
+/// True for a late or repeated answer to an earlier request, recognised by its echo
+/// field. Without that field the answer cannot be told from one to an earlier request,
+/// unless there was none; it proves nothing then, not even that the request has not run.
 bool Http1ClientConnection::IsForOtherRequest(const StreamHeaders& headers) const {
   if (stream_->echo_name.empty()) return false;
   const std::string_view value = HeaderValue(headers, stream_->echo_name);
+  if (value.empty() && requests_ > 1) {
+    throw Error(ResultCode::kAnswerCut, "the answer does not name its request");
+  }
   return !value.empty() && value != stream_->echo_value;
 }
 
--- a/src/plugins/http1_beast/http1_client_connection.h
+++ b/src/plugins/http1_beast/http1_client_connection.h
@@ -1,6 +1,7 @@
 #ifndef QUETZAL_PLUGINS_HTTP1_BEAST_HTTP1_CLIENT_CONNECTION_H_
 #define QUETZAL_PLUGINS_HTTP1_BEAST_HTTP1_CLIENT_CONNECTION_H_
 
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -74,6 +75,10 @@
   void PumpRequest();
   void Complete(bool leftover);
   void ResetParser();
+  /// True when an answer to the request of `stream` could be taken for one to an earlier
+  /// request of this connection.
+  bool HasSentEchoOf(const Http1ClientStream& stream) const;
+  void RecordEcho();
   bool IsForOtherRequest(const StreamHeaders& headers) const;
   Duration IdleLimit() const;
 
@@ -98,6 +103,8 @@
   bool skip_message_ = false;         ///< Interim, or for an earlier request.
   std::size_t skipped_messages_ = 0;  ///< Before the answer to the current request.
   std::size_t skipped_bytes_ = 0;     ///< In the bodies of these messages.
+  std::deque<std::string> echoes_;    ///< Of the latest requests, the current one last.
+  std::size_t requests_ = 0;          ///< Sent on this connection.
   bool answer_begun_ = false;
   bool answer_done_ = false;
   bool keep_alive_ = false;
--- a/tests/http1/http1_client_test.cc
+++ b/tests/http1/http1_client_test.cc
@@ -145,6 +145,129 @@
   EXPECT_EQ(handler->body(), "new");
 }
 
+constexpr char kRefusalOfOne[] =
+    "HTTP/1.1 503 Busy\r\nx-id: 1\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n";
+constexpr char kRefusalOfNone[] =
+    "HTTP/1.1 503 Busy\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n";
+constexpr char kAnswerToTwo[] =
+    "HTTP/1.1 200 OK\r\nx-id: 2\r\ncontent-length: 3\r\n\r\nnew";
+
+/// Refuses the first request of each connection, repeats `repeated` before it answers the
+/// second.
+class RepeatedRefusalTest : public Http1ClientTest {
+ protected:
+  RepeatedRefusalTest()
+      : server_([this](RawServer::Socket& socket) {
+          std::string rest;
+          const std::string head = RawServer::ReadHead(socket, &rest);
+          if (head.empty()) return;
+          const bool is_first = head.find("/1 ") != std::string::npos;
+          RawServer::Write(socket, is_first ? kRefusalOfOne : kAnswerToTwo);
+          if (!is_first || RawServer::ReadHead(socket, &rest).empty()) return;
+          RawServer::Write(socket, repeated_ + kAnswerToTwo);
+        }) {}
+
+  std::shared_ptr<RecordingHandler> Ask(const std::string& id) {
+    auto handler = std::make_shared<RecordingHandler>();
+    stream_ = client_.Open(server_.endpoint(), "/" + id,
+                           {{":method", "GET"}, {":echo", "x-id=" + id}}, true, handler);
+    return handler;
+  }
+
+  std::string repeated_;
+  std::shared_ptr<Stream> stream_;
+  RawServer server_;
+};
+
+TEST_F(RepeatedRefusalTest, ItIsSkippedWhereItNamesItsRequest) {
+  repeated_ = kRefusalOfOne;
+  EXPECT_EQ(Ask("1")->WaitDone(), ResultCode::kOk);
+  const auto second = Ask("2");
+  EXPECT_EQ(second->WaitDone(), ResultCode::kOk);
+  EXPECT_EQ(second->body(), "new");
+  EXPECT_EQ(server_.connections(), 1);
+}
+
+// Guards against a refusal of an earlier request that is taken as proof that the current
+// one has not run.
+TEST_F(RepeatedRefusalTest, ItIsNoAnswerWhereItNamesNoRequest) {
+  repeated_ = kRefusalOfNone;
+  EXPECT_EQ(Ask("1")->WaitDone(), ResultCode::kOk);
+  EXPECT_EQ(Ask("2")->WaitDone(), ResultCode::kAnswerCut);
+}
+
+// Guards against a refusal that is repeated while the same request is tried again.
+TEST_F(RepeatedRefusalTest, ARequestThatIsTriedAgainUsesAnotherConnection) {
+  repeated_ = kRefusalOfOne;
+  EXPECT_EQ(Ask("1")->WaitDone(), ResultCode::kOk);
+  EXPECT_EQ(Ask("1")->WaitDone(), ResultCode::kOk);
+  EXPECT_EQ(server_.connections(), 2);
+}
+
+TEST_F(Http1ClientTest, ARefusalTwiceInOneSegmentEndsTheUseOfTheConnection) {
+  RawServer server([](RawServer::Socket& socket) {
+    std::string rest;
+    if (RawServer::ReadHead(socket, &rest).empty()) return;
+    RawServer::Write(socket, std::string(kRefusalOfOne) + kRefusalOfOne);
+    if (!RawServer::ReadHead(socket, &rest).empty())
+      RawServer::Write(socket, kAnswerToTwo);
+  });
+  for (int n = 0; n < 2; ++n) {
+    const auto handler =
+        Send(server.endpoint(), {{":method", "GET"}, {":echo", "x-id=1"}});
+    EXPECT_EQ(handler->WaitDone(), ResultCode::kOk);
+  }
+  EXPECT_EQ(server.connections(), 2);
+}
+
+TEST_F(Http1ClientTest, TheFirstAnswerOfAConnectionMayNameNoRequest) {
+  RawServer server([](RawServer::Socket& socket) {
+    std::string rest;
+    RawServer::ReadHead(socket, &rest);
+    RawServer::Write(socket, kRefusalOfNone);
+  });
+  const auto handler = Send(server.endpoint(), {{":method", "GET"}, {":echo", "x-id=1"}});
+  EXPECT_EQ(handler->WaitDone(), ResultCode::kOk);
+}
+
+/// Where a server stops in an answer, and how it closes.
+class CutHeadTest : public Http1ClientTest,
+                    public ::testing::WithParamInterface<std::tuple<bool, bool, bool>> {};
+
+// Guards against an answer whose head is cut and that passes for a whole one, at each
+// byte of the head, for the first and for a later request of a connection.
+TEST_P(CutHeadTest, AHeadThatIsCutIsNoAnswer) {
+  const auto [reset, later, with_length] = GetParam();
+  const std::string head = std::string("HTTP/1.1 200 OK\r\nx-id: 2\r\nx-proof: 1\r\n") +
+                           (with_length ? "content-length: 4\r\n" : "") + "\r\n";
+  for (std::size_t n = 0; n < head.size(); ++n) {
+    RawServer server([&, reset = reset, later = later](RawServer::Socket& socket) {
+      std::string rest;
+      if (RawServer::ReadHead(socket, &rest).empty()) return;
+      if (later) {
+        RawServer::Write(socket, "HTTP/1.1 204 No Content\r\nx-id: 1\r\n\r\n");
+        if (RawServer::ReadHead(socket, &rest).empty()) return;
+      }
+      RawServer::Write(socket, head.substr(0, n));
+      if (reset) socket.set_option(boost::asio::socket_base::linger(true, 0));
+      socket.close();
+    });
+    if (later) {
+      const auto first =
+          Send(server.endpoint(), {{":method", "GET"}, {":echo", "x-id=1"}});
+      EXPECT_EQ(first->WaitDone(), ResultCode::kOk);
+    }
+    const auto handler =
+        Send(server.endpoint(), {{":method", "GET"}, {":echo", "x-id=2"}});
+    EXPECT_EQ(handler->WaitDone(), ResultCode::kConnectionLost) << n;
+    EXPECT_EQ(handler->header(":status"), "") << n;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Cuts, CutHeadTest,
+                         ::testing::Combine(::testing::Bool(), ::testing::Bool(),
+                                            ::testing::Bool()));
+
 TEST_F(Http1ClientTest, IdleConnectionIsClosedBeforeThePeersKeepAliveTimeout) {
   RawServer server([](RawServer::Socket& socket) {
     std::string rest;
