Nodes: a leave counts for the start that it states

What could happen: a leave that arrives late, after its server has started again under the same id, took the new server out.

Cause: the start that the server states with its leave was not read.

Change: a leave with a start concerns that start and earlier ones. Without it, the current incarnation leaves, as before.

Measured: HeartbeatOrderTest.ALateLeaveOfAnEarlierStartChangesNothing and HeartbeatCodecTest.ALeaveMayStateTheStartOfItsServer; both need the new parameter, so that they were not run on the code before.

--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -91,9 +91,7 @@
 void BackendServerMonitor::RecordHeartbeat(const ServerHeartbeat& heartbeat) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
-  if (heartbeat.start_time > WallMillis() + kMaxClockDifference) {
-    ThrowMalformed("the start of the server is in the future");
-  }
+  CheckStartTime(heartbeat.start_time);
   const bool departed = departed_.Contains(heartbeat.id, heartbeat.start_time);
   if (heartbeat.leaving) departed_.Add({heartbeat.id, heartbeat.start_time});
   if (heartbeat.start_time < heartbeat_.start_time) {
@@ -131,17 +129,24 @@
   SetServerLocked(std::move(server));
 }
 
-void BackendServerMonitor::RecordLeave(const std::string& id) {
+void BackendServerMonitor::RecordLeave(
+    const std::string& id, std::optional<std::chrono::milliseconds> start_time) {
   std::lock_guard<std::mutex> lock(mutex_);
   if (stopped_) throw Error(ResultCode::kNodeStopping, "this node is stopping");
+  if (start_time) CheckStartTime(*start_time);
   const bool known = id == heartbeat_.id && server_.state != SERVER_NONE;
   events_->Emit({"server.leave", {{"server", id}, {"known", known ? "true" : "false"}}});
   // A node that has just started may hear of the leave before any heartbeat. A later
   // incarnation with this id starts after now.
-  departed_.Add({id, known ? heartbeat_.start_time : WallMillis()});
+  departed_.Add({id, start_time.value_or(known ? heartbeat_.start_time : WallMillis())});
   ApplyDepartureLocked();
 }
 
+void BackendServerMonitor::CheckStartTime(std::chrono::milliseconds start_time) const {
+  if (start_time <= WallMillis() + kMaxClockDifference) return;
+  ThrowMalformed("the start of the server is in the future");
+}
+
 std::chrono::milliseconds BackendServerMonitor::WallMillis() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       clock_->WallNow().time_since_epoch());
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -49,9 +50,11 @@
   /// those of all heartbeats to come, and Error(kNodeStopping) after Stop().
   void RecordHeartbeat(const ServerHeartbeat& heartbeat);
 
-  /// Records that the server process `id` leaves, also before its first heartbeat. Throws
-  /// Error(kNodeStopping) after Stop().
-  void RecordLeave(const std::string& id);
+  /// Records that the server process `id` leaves, also before its first heartbeat. A
+  /// later start than `start_time` is not concerned; without it, the current incarnation
+  /// leaves. Throws as RecordHeartbeat does.
+  void RecordLeave(const std::string& id,
+                   std::optional<std::chrono::milliseconds> start_time = std::nullopt);
 
   /// Records that an answer of the server process `id` says that it leaves.
   void RecordLeavingAnswer(const std::string& id);
@@ -95,6 +98,8 @@
 
  private:
   std::chrono::milliseconds WallMillis() const;
+  /// Throws Error(kRequestMalformed) for a time far in the future.
+  void CheckStartTime(std::chrono::milliseconds start_time) const;
   void SetServerLocked(LocalBackendServer server);
   ServerObservations ObservationsLocked() const;
   void RecordFormerDepartureLocked(const BackendDeparture& departure);
--- a/src/libquetzal/node/server_reports.cc
+++ b/src/libquetzal/node/server_reports.cc
@@ -12,9 +12,11 @@
   AcknowledgeDeparture(done);
 }
 
-void ServerReports::Leave(const std::string& server_id, const Done& done) {
+void ServerReports::Leave(const std::string& server_id,
+                          std::optional<std::chrono::milliseconds> start_time,
+                          const Done& done) {
   try {
-    monitor_->RecordLeave(server_id);
+    monitor_->RecordLeave(server_id, start_time);
   } catch (const Error& error) {
     return done(error.code());
   }
--- a/src/libquetzal/node/server_reports.h
+++ b/src/libquetzal/node/server_reports.h
@@ -1,7 +1,9 @@
 #ifndef QUETZAL_NODE_SERVER_REPORTS_H_
 #define QUETZAL_NODE_SERVER_REPORTS_H_
 
+#include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "base/result_code.h"
@@ -24,7 +26,8 @@
       : monitor_(monitor), await_held_(std::move(await_held)) {}
 
   void Heartbeat(const ServerHeartbeat& heartbeat, const Done& done);
-  void Leave(const std::string& server_id, const Done& done);
+  void Leave(const std::string& server_id,
+             std::optional<std::chrono::milliseconds> start_time, const Done& done);
 
  private:
   /// Acknowledges a departure, which must outlive the process of this node.
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -148,6 +148,17 @@
 }
 
 // Guards against a server that stays out of use for good after its predecessor left.
+// Guards against a late leave that takes out the server that started again under its id.
+TEST_F(HeartbeatOrderTest, ALateLeaveOfAnEarlierStartChangesNothing) {
+  SendHeartbeat("i-1", kSecondStart, 1);
+  monitor_.RecordLeave("i-1", kFirstStart);
+  EXPECT_EQ(state(), SERVER_UP);
+  monitor_.RecordLeave("i-1", kSecondStart);
+  EXPECT_EQ(state(), SERVER_LEAVING);
+  SendHeartbeat("i-1", kThirdStart, 1);
+  EXPECT_EQ(state(), SERVER_UP);
+}
+
 TEST_F(HeartbeatOrderTest, ALaterStartWithTheIdOfADepartedServerIsUsed) {
   monitor_.RecordLeave("i-1");
   clock_.Advance(std::chrono::seconds(5));
--- a/tests/platform/heartbeat_codec_test.cc
+++ b/tests/platform/heartbeat_codec_test.cc
@@ -65,6 +65,16 @@
   }
 }
 
+TEST(HeartbeatCodecTest, ALeaveMayStateTheStartOfItsServer) {
+  using std::chrono::milliseconds;
+  EXPECT_EQ(DecodeLeave(R"({"born":1784739888000})"), milliseconds(1784739888000));
+  for (const char* body :
+       {"", "{}", "7", R"({"born":"5"})", R"({"born":-5})", "{\"born\"",
+        R"({"born":1e999})", R"({"born":18446744073709551615})"}) {
+    EXPECT_EQ(DecodeLeave(body), std::nullopt) << body;
+  }
+}
+
 TEST(HeartbeatCodecTest, PathsOfServerRequests) {
   EXPECT_EQ(DecodeServerPath("/api/instances/i-1/heartbeat").server_id, "i-1");
   EXPECT_EQ(DecodeServerPath("/api/instances/i-1/leave").action, "leave");
