Nodes: a later acquittal keeps the crashes of the earlier one

What callers would see: after an operator had taken a request off a second time, the crashes of the first time counted again, and the request was refused again with 400.

Cause: CrashLog::Acquit replaced the acquittal of the same request.

Change: the crashes of both are kept, up to the bound, the latest first.

Measured: CrashLogTest.ALaterAcquittalKeepsTheCrashesOfTheEarlierOne fails before.

--- a/src/libquetzal/node/crash_log.cc
+++ b/src/libquetzal/node/crash_log.cc
@@ -25,15 +25,24 @@
 }
 
 void CrashLog::Acquit(const Acquittal& acquittal) {
-  acquittals_.erase(std::remove_if(acquittals_.begin(), acquittals_.end(),
-                                   [&](const TimedAcquittal& other) {
-                                     return other.acquittal.digest == acquittal.digest;
-                                   }),
-                    acquittals_.end());
+  Acquittal merged = acquittal;
+  const auto known = std::find_if(acquittals_.begin(), acquittals_.end(),
+                                  [&](const TimedAcquittal& other) {
+                                    return other.acquittal.digest == acquittal.digest;
+                                  });
+  if (known != acquittals_.end()) {
+    for (const std::uint64_t crash : known->acquittal.crashes) {
+      const auto& crashes = merged.crashes;
+      if (std::find(crashes.begin(), crashes.end(), crash) != crashes.end()) continue;
+      merged.crashes.push_back(crash);
+    }
+    acquittals_.erase(known);
+  }
+  if (merged.crashes.size() > kMaxCrashesOfAcquittal) {
+    merged.crashes.resize(kMaxCrashesOfAcquittal);
+  }
   if (acquittals_.size() >= kMaxAcquittals) acquittals_.pop_front();
-  acquittals_.push_back({acquittal, clock_->Now()});
-  auto& crashes = acquittals_.back().acquittal.crashes;
-  if (crashes.size() > kMaxCrashesOfAcquittal) crashes.resize(kMaxCrashesOfAcquittal);
+  acquittals_.push_back({std::move(merged), clock_->Now()});
 }
 
 bool CrashLog::AddFormer(const Acquittal& acquittal) {
--- a/tests/node/crash_log_test.cc
+++ b/tests/node/crash_log_test.cc
@@ -66,6 +66,17 @@
   EXPECT_EQ(Observations().acquittals_size(), 0);
 }
 
+// Guards against crashes that count again since later ones are excused as well.
+TEST_F(CrashLogTest, ALaterAcquittalKeepsTheCrashesOfTheEarlierOne) {
+  log_.Acquit({10, {1, 2}});
+  log_.Acquit({10, {3, 2}});
+  const ServerObservations observations = Observations();
+  ASSERT_EQ(observations.acquittals_size(), 1);
+  const auto& crashes = observations.acquittals(0).crashes();
+  EXPECT_EQ(std::set<std::uint64_t>(crashes.begin(), crashes.end()),
+            (std::set<std::uint64_t>{1, 2, 3}));
+}
+
 // Guards against a flood that makes the fleet forget a known cause.
 TEST_F(CrashLogTest, CrashesWithAKnownCauseAreDroppedLast) {
   log_.Add(Crash(1, 20));
