Calls: a request that another server has answered is not blamed for a mass crash

Cause: what ran in three crashes, or as the only one in two, was taken for their cause. That other servers had answered the same request was known to the calls that were tried again, and forgotten.

Change: a call that lost a server and was answered by another one reports its request to the monitor of its node (on_request_survived). When the request is blamed, the node acquits it of these crashes as an operator would, and tells the fleet in its record. `request.excused` logs it.

--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -87,6 +87,10 @@
   /// Called when the local backend server closed the connection of a request before the
   /// answer's end; may be null.
   std::function<void(const CutRequest& cut)> on_request_cut;
+
+  /// Called when a server has answered a request that another one may have begun and did
+  /// not answer; may be null.
+  std::function<void(const RequestFingerprint& request)> on_request_survived;
 };
 
 /// The backend server of this node, as the server announced itself.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -146,6 +146,11 @@
   return matcher->snapshot().crashing->Judge(Identity(), body_.ended());
 }
 
+void CallerCall::ReportSurvival() const {
+  if (lost_attempts_ == 0 || !context_->deps.on_request_survived) return;
+  context_->deps.on_request_survived(Identity().Fingerprint());
+}
+
 void CallerCall::RefuseCrashing() {
   ++context_->blocked;
   const bool may_have_run =
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -63,6 +63,8 @@
   RequestIdentity Identity() const;
   CrashVerdict JudgeCrash() const;
   void RefuseCrashing();
+  /// The request was answered after an attempt that may have run was lost.
+  void ReportSurvival() const;
   void ClaimWhenBodyIsComplete();
   std::string Fingerprint() const;
 
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -369,6 +369,7 @@
     EndAttempt(AttemptEnd::kFailed, VersionOutcome::kFailed);
   } else {
     EndAttempt(AttemptEnd::kAnswered, VersionOutcome::kAnswered);
+    ReportSurvival();
   }
   ++servers_reached_;
   if (!guard_ && route_->idempotent() && answer_.unavailable() && MayRetry(true)) {
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -78,7 +78,8 @@
       events_(events),
       observer_(std::move(observer)),
       crash_detector_(clock),
-      crash_log_(clock) {}
+      crash_log_(clock),
+      survived_(clock) {}
 
 void BackendServerMonitor::Announce(const std::string& json) {
   LocalBackendServer server = ParseAnnouncement(json);
@@ -222,12 +223,32 @@
   SetServerLocked(server_);
 }
 
-void BackendServerMonitor::RecordCrashingRequests(const CrashingRequests& causes) {
+void BackendServerMonitor::RecordCrashingRequests(
+    std::shared_ptr<const CrashingRequests> causes) {
   std::lock_guard<std::mutex> lock(mutex_);
-  crash_log_.Explain(causes);
+  causes_ = std::move(causes);
+  crash_log_.Explain(*causes_);
+  ExcuseSurvivorsLocked();
   SetServerLocked(server_);
 }
 
+void BackendServerMonitor::RecordSurvivor(const RequestFingerprint& request) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  survived_.Record(request);
+  if (causes_ == nullptr) return;
+  ExcuseSurvivorsLocked();
+  SetServerLocked(server_);
+}
+
+void BackendServerMonitor::ExcuseSurvivorsLocked() {
+  for (const Acquittal& acquittal : survived_.Excuse(*causes_)) {
+    crash_log_.Acquit(acquittal);
+    events_->Emit({"request.excused",
+                   {{"request_hash", ToString({0, acquittal.digest})},
+                    {"crashes", std::to_string(acquittal.crashes.size())}}});
+  }
+}
+
 void BackendServerMonitor::MarkLeaving() {
   std::lock_guard<std::mutex> lock(mutex_);
   if (server_.state == SERVER_NONE) return;
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -14,6 +15,7 @@
 #include "node/crash_detector.h"
 #include "node/crash_log.h"
 #include "node/departed_servers.h"
+#include "node/survived_requests.h"
 
 namespace quetzal {
 
@@ -73,8 +75,12 @@
   /// Tells the fleet that these crashes no longer count against the request.
   void Acquit(const Acquittal& acquittal);
 
-  /// Forgets which other requests ran in the crashes that these caused.
-  void RecordCrashingRequests(const CrashingRequests& causes);
+  /// Forgets which other requests ran in the crashes that these caused, and acquits those
+  /// that another server has answered.
+  void RecordCrashingRequests(std::shared_ptr<const CrashingRequests> causes);
+
+  /// Records that a server has answered a request that another one did not.
+  void RecordSurvivor(const RequestFingerprint& request);
 
   /// Marks the server as leaving, so that it gets no new requests.
   void MarkLeaving();
@@ -106,6 +112,7 @@
   /// Marks the server as leaving if its incarnation is among departed_.
   void ApplyDepartureLocked();
   void ReportCrashLocked();
+  void ExcuseSurvivorsLocked();
   void EmitHeartbeat(const ServerHeartbeat& heartbeat, const char* outcome);
 
   const Duration timeout_;
@@ -119,6 +126,8 @@
   DepartedServers departed_;
   CrashDetector crash_detector_;
   CrashLog crash_log_;
+  SurvivedRequests survived_;
+  std::shared_ptr<const CrashingRequests> causes_;  ///< The latest; null before them.
   std::uint64_t crashes_ = 0;
   bool awaits_former_ = false;
   bool stopped_ = false;
--- a/tests/calls/crash_cluster.h
+++ b/tests/calls/crash_cluster.h
@@ -30,6 +30,10 @@
     cluster.on_request_cut = [this](std::size_t n, const CutRequest& cut) {
       monitors_[n]->RecordCut(cut);
     };
+    cluster.on_request_survived = [this](std::size_t n,
+                                         const RequestFingerprint& request) {
+      monitors_[n]->RecordSurvivor(request);
+    };
     cluster.on_backend_unreachable = [this](std::size_t n) {
       monitors_[n]->MarkUnreachable();
     };
@@ -108,15 +112,21 @@
 
   void Distribute() {
     std::vector<CrashReport> reports;
+    std::vector<Acquittal> acquittals;
     for (const auto& monitor : monitors_) {
       const LocalBackendServer server = monitor->server();
       if (!server.observations) continue;
       for (const ServerCrash& crash : server.observations->crashes()) {
         reports.push_back(FromMessage(crash));
       }
+      for (const CrashAcquittal& acquittal : server.observations->acquittals()) {
+        acquittals.push_back(FromMessage(acquittal));
+      }
     }
-    cluster.crashing = std::make_shared<const CrashingRequests>(reports);
+    cluster.crashing = std::make_shared<const CrashingRequests>(reports, acquittals);
     cluster.Distribute();
+    const auto crashing = cluster.crashing;
+    for (const auto& monitor : monitors_) monitor->RecordCrashingRequests(crashing);
   }
 
   void OnRun(int n, const std::string& path, const std::string& body) {
--- a/tests/calls/crashing_request_test.cc
+++ b/tests/calls/crashing_request_test.cc
@@ -49,6 +49,32 @@
       << cluster_.crashes << " crashes in all";
 }
 
+// Guards against a proper request that is shut out since it ran on servers that crashed
+// together; others have answered it.
+TEST_F(CrashingRequestTest, ARequestThatRanInAMassCrashIsServed) {
+  for (const auto& server : cluster_.cluster.servers) {
+    server->service_time = milliseconds(600);
+  }
+  const auto send_page = [this](int count) {
+    std::vector<std::shared_ptr<AnswerRecorder>> answers;
+    for (int n = 0; n < count; ++n) {
+      answers.push_back(
+          cluster_.cluster.Send(n % kNodes, "GET", "/reports/page", "", ""));
+    }
+    return answers;
+  };
+  SendLoad("/reports/other", seconds(100), seconds(2));
+  const auto burst = send_page(30);
+  cluster_.Run(milliseconds(300));
+  for (int n = 0; n < 3; ++n) cluster_.EndServer(n);
+  cluster_.Run(seconds(8));
+  for (int n = 0; n < 10; ++n) {
+    const auto answers = send_page(2);
+    cluster_.Run(seconds(1));
+    for (const auto& answer : answers) EXPECT_EQ(answer->status(), "200") << n;
+  }
+}
+
 // Guards against ordinary requests that are shut out with the one beside them.
 TEST_F(CrashingRequestTest, OrdinaryRequestsAreServedBesideIt) {
   cluster_.crashing_paths = {"/reports/crash"};
--- a/tests/calls/sim_cluster.h
+++ b/tests/calls/sim_cluster.h
@@ -222,6 +222,8 @@
   std::shared_ptr<const CrashingRequests> crashing;  ///< Known after the next Distribute.
   /// In place of the node's monitor of its backend server; may be null.
   std::function<void(std::size_t node, const CutRequest& cut)> on_request_cut;
+  std::function<void(std::size_t node, const RequestFingerprint& request)>
+      on_request_survived;
   std::function<void(std::size_t node)> on_backend_unreachable;
 
  private:
