--- a/src/libquetzal/agreement/agreement_service.cc
+++ b/src/libquetzal/agreement/agreement_service.cc
@@ -354,8 +354,7 @@
   }
 
   void FailPending(ResultCode code) {
-    auto pending = std::exchange(pending_, {});
-    for (auto& [index, it] : pending) it.done(code, {}, "");
+    for (auto& [index, it] : std::exchange(pending_, {})) it.done(code, {}, "");
     if (membership_done_) std::exchange(membership_done_, nullptr)(code, {}, "");
   }
 
