Group repair: an announced stop counts for as long as a stop may take

What could happen: control instances that do not lead kept the announcement of a stop for good. Such an instance, leading hours later, removed the restarted one from a group of even size at its first missing answer. Found when reading again.

Cause: announcements expired only on the leader, and not for a silent member.

Change: they expire after the stop limit; a member that is silent then is removed after the usual delay.

Measured: AnInstanceThatStoppedLongAgoIsRemovedOnlyAfterItsSilence fails before.

--- a/src/libquetzal/control/group_repair.cc
+++ b/src/libquetzal/control/group_repair.cc
@@ -64,10 +64,8 @@
     }
   }
   for (auto it = stopping_since_.begin(); it != stopping_since_.end();) {
-    const GroupMember* member = Find(group, it->first);
     const bool ended = now - it->second >= settings_.stop_limit;
-    const bool started_again = ended && (member == nullptr || member->answers);
-    it = started_again ? stopping_since_.erase(it) : std::next(it);
+    it = ended ? stopping_since_.erase(it) : std::next(it);
   }
 }
 
--- a/tests/control/group_repair_test.cc
+++ b/tests/control/group_repair_test.cc
@@ -206,6 +206,18 @@
   EXPECT_EQ(Next(), "");
 }
 
+// Guards against a new leader that takes a restarted instance for one that stops still,
+// since it was told so long ago.
+TEST_F(GroupRepairTest, AnInstanceThatStoppedLongAgoIsRemovedOnlyAfterItsSilence) {
+  Join("d");
+  planner_.OnStopping("b", clock_.Now());
+  clock_.Advance(seconds(60));
+  group_[1].answers = false;
+  EXPECT_EQ(Next(), "");
+  clock_.Advance(seconds(2));
+  EXPECT_EQ(Next(), "-b");
+}
+
 TEST_F(GroupRepairTest, AStoppingInstanceIsAddedAgainOnlyAfterItsEnd) {
   Join("d");
   planner_.OnStopping("b", clock_.Now());
