Nodes: a new run publishes no crashes before it knows of former departures

What could happen: a node that has just started and observes a crash, or excuses a request, published that in place of what its witnesses held of its earlier run, before it had asked them: an acknowledged departure was lost. Found when reading again.

Cause: members keep former observations only until a record has some of its own.

Change: crashes and acquittals are published once former observations are known (or the join limit has passed).

Measured: NothingIsPublishedInPlaceOfFormerDepartures fails before.

--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -170,9 +170,8 @@
 void BackendServerMonitor::FormerObservationsKnown() {
   std::lock_guard<std::mutex> lock(mutex_);
   awaits_former_ = false;
-  if (server_.state != SERVER_STARTING) return;
   LocalBackendServer server = server_;
-  server.state = SERVER_UP;
+  if (server.state == SERVER_STARTING) server.state = SERVER_UP;
   SetServerLocked(std::move(server));
 }
 
@@ -313,7 +312,8 @@
 
 ServerObservations BackendServerMonitor::ObservationsLocked() const {
   ServerObservations observations;
-  crash_log_.WriteTo(&observations);
+  // Other members replace what they hold of the earlier run by what this one publishes.
+  if (!awaits_former_) crash_log_.WriteTo(&observations);
   const BackendDeparture departure = departed_.latest();
   if (departure.id.empty()) return observations;
   observations.mutable_departure()->set_id(departure.id);
--- a/tests/node/backend_server_monitor_test.cc
+++ b/tests/node/backend_server_monitor_test.cc
@@ -194,6 +194,20 @@
   EXPECT_EQ(state(), SERVER_UP) << "it started again under its id";
 }
 
+// Guards against observations of a new run that replace a departure which only other
+// members know of.
+TEST_F(HeartbeatOrderTest, NothingIsPublishedInPlaceOfFormerDepartures) {
+  monitor_.AwaitFormerObservations();
+  SendHeartbeat("i-1", kFirstStart, 4);
+  monitor_.Acquit({10, {1, 2}});
+  EXPECT_FALSE(monitor_.server().observations);
+  RecordFormerDeparture("i-1", kFirstStart);
+  monitor_.FormerObservationsKnown();
+  ASSERT_TRUE(monitor_.server().observations);
+  EXPECT_EQ(monitor_.server().observations->departure().id(), "i-1");
+  EXPECT_EQ(monitor_.server().observations->acquittals_size(), 1);
+}
+
 TEST_F(HeartbeatOrderTest, AServerIsUsedOnceFormerDeparturesAreKnown) {
   monitor_.AwaitFormerObservations();
   SendHeartbeat("i-1", kFirstStart, 4);
