Group repair: a leader waits for the commit of its own removal

What could happen: a leader that stops ended 0.1 s after it had proposed its own removal, committed or not: the log's last group lacks it already, which counted as "kept". Found when reading again.

Change: while its change is under way, it goes on waiting, for at most 2 s.

Measured: ALeaderWaitsForTheCommitOfItsOwnRemoval fails before.

--- a/src/libquetzal/control/group_repairer.cc
+++ b/src/libquetzal/control/group_repairer.cc
@@ -92,7 +92,8 @@
 void GroupRepairer::AnnounceStop() {
   if (dependencies_.clock->Now() >= leave_until_) return FinishLeave("timed_out");
   if (dependencies_.agreement->leadership().leading) {
-    if (!MayBeRemoved(instance_)) return FinishLeave("kept");
+    // A removal that is not committed yet has already left the log's last group.
+    if (!busy_ && !MayBeRemoved(instance_)) return FinishLeave("kept");
     Check();
   }
   for (const GroupMember& member : dependencies_.agreement->group()) {
--- a/tests/control/group_repairer_test.cc
+++ b/tests/control/group_repairer_test.cc
@@ -10,6 +10,31 @@
 
 using std::chrono::milliseconds;
 
+/// Delays the results of changes of the group, which appear in group() at once.
+class SlowAgreement final : public Agreement {
+ public:
+  explicit SlowAgreement(FakeAgreement* base) : base_(base) {}
+
+  void Propose(std::string entry, ProposeDone done) override {
+    base_->Propose(std::move(entry), std::move(done));
+  }
+  void ReadBarrier(ReadDone done) override { base_->ReadBarrier(std::move(done)); }
+  LeadershipView leadership() const override { return base_->leadership(); }
+  LogPosition committed() const override { return base_->committed(); }
+  std::vector<GroupMember> group() const override { return base_->group(); }
+  void ProposeMembership(const MembershipChange& change,
+                         const ProposeDone& done) override {
+    base_->ProposeMembership(change, [](ResultCode, LogPosition, const std::string&) {});
+    committed_ = [done] { done(ResultCode::kOk, {}, ""); };
+  }
+
+  void Commit() { std::exchange(committed_, nullptr)(); }
+
+ private:
+  FakeAgreement* base_;
+  std::function<void()> committed_;
+};
+
 /// Control instances a, which leads, and b of one group.
 class GroupRepairerTest : public testing::Test {
  protected:
@@ -84,6 +109,26 @@
   EXPECT_EQ(a_.agreement.changes[0].name, "a");
 }
 
+// Guards against a leader that ends before its own removal is committed.
+TEST_F(GroupRepairerTest, ALeaderWaitsForTheCommitOfItsOwnRemoval) {
+  SetGroup({"a", "b", "c", "d"});
+  a_.repairer.Stop();
+  SlowAgreement agreement(&a_.agreement);
+  GroupRepairer repairer(
+      "a",
+      {&agreement, &a_.rpc, &a_.rpc, &executor_, &clock_, &a_.events,
+       [this] { return running_; }, [](const std::string&) { return false; }},
+      GroupRepairSettings());
+  bool left = false;
+  repairer.Leave([&] { left = true; });
+  executor_.Advance(milliseconds(500));
+  EXPECT_EQ(a_.agreement.changes.size(), 1U);
+  EXPECT_FALSE(left);
+  agreement.Commit();
+  executor_.Run();
+  EXPECT_TRUE(left);
+}
+
 TEST_F(GroupRepairerTest, AnInstanceOfAGroupOfThreeEndsAtOnceAndIsKept) {
   SetGroup({"a", "b", "c"});
   EXPECT_TRUE(*Leave(&b_));
