Tests: pipelined requests have a file of their own

Change: the ten tests of pipelining are in http1_pipelining_test.cc, the fixture of both files is in http1_server_fixture.h.

--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -1,70 +1,15 @@
-#include <condition_variable>
-#include <deque>
 #include <future>
-#include <mutex>
 
-#include <gtest/gtest.h>
 #include <boost/asio/post.hpp>
 
-#include "http1/raw_peer.h"
-#include "plugins/http1_beast/http1_transport.h"
-#include "streams/recording_handler.h"
+#include "http1/http1_server_fixture.h"
 
 namespace quetzal {
 namespace {
 
-/// An accepted request and its handler.
-struct Accepted {
-  std::string path;
-  std::shared_ptr<Stream> stream;
-  std::shared_ptr<RecordingHandler> handler = std::make_shared<RecordingHandler>();
-};
-
-Http1Options Options() {
-  Http1Options options;
-  options.head_timeout = std::chrono::milliseconds(50);
-  return options;
-}
-
-class Http1ServerTest : public ::testing::Test {
- protected:
-  Http1ServerTest() {
-    endpoint_ = server_.Listen(
-        {"127.0.0.1", 0},
-        [this](const std::string& path, const StreamHeaders&,
-               std::shared_ptr<Stream> stream) -> std::shared_ptr<StreamHandler> {
-          ++requests_;
-          if (path == "/unknown") return nullptr;
-          Accepted accepted{path, std::move(stream)};
-          auto handler = accepted.handler;
-          const std::lock_guard<std::mutex> lock(mutex_);
-          accepted_.push_back(std::move(accepted));
-          changed_.notify_all();
-          return handler;
-        });
-  }
-  ~Http1ServerTest() override { workers_.Stop(); }
-
-  Accepted WaitAccepted() {
-    std::unique_lock<std::mutex> lock(mutex_);
-    changed_.wait(lock, [this] { return !accepted_.empty(); });
-    Accepted accepted = std::move(accepted_.front());
-    accepted_.pop_front();
-    return accepted;
-  }
-
-  std::atomic<int> requests_{0};
-  std::mutex mutex_;
-  std::condition_variable changed_;
-  std::deque<Accepted> accepted_;
-  WorkerPool workers_{2};
-  Http1Transport server_{&workers_, Options()};
-  Endpoint endpoint_;
-};
-
 TEST(Http1TransportTest, StartAcceptingAfterDrainDoesNothing) {
   WorkerPool workers{2};
-  Http1Transport server{&workers, Options()};
+  Http1Transport server{&workers, ServerTestOptions()};
   server.Bind({"127.0.0.1", 0}, nullptr);
   server.Drain();
   EXPECT_NO_THROW(server.StartAccepting());
@@ -91,145 +36,6 @@
             "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok");
 }
 
-TEST_F(Http1ServerTest, PipelinedRequestsAreAnsweredInOrder) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /2 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
-  for (const char* path : {"/1", "/2"}) {
-    Accepted accepted = WaitAccepted();
-    EXPECT_EQ(accepted.path, path);
-    accepted.stream->SendHeaders({{":status", "204"}}, true);
-  }
-  EXPECT_EQ(caller.ReadAll(),
-            "HTTP/1.1 204 No Content\r\n\r\n"
-            "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
-}
-
-TEST_F(Http1ServerTest, PipelinedGetsAreServedConcurrentlyAndAnsweredInOrder) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /2 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
-  Accepted first = WaitAccepted();
-  Accepted second = WaitAccepted();
-  second.stream->SendHeaders({{":status", "200"}, {"content-length", "1"}}, false);
-  second.stream->SendData("2", true);
-  first.stream->SendHeaders({{":status", "200"}, {"content-length", "1"}}, false);
-  first.stream->SendData("1", true);
-  EXPECT_EQ(caller.ReadAll(),
-            "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1"
-            "HTTP/1.1 200 OK\r\ncontent-length: 1\r\nconnection: close\r\n\r\n2");
-}
-
-// After an answer with "Connection: close" a caller resends the requests behind it. A
-// POST that was already served would then run twice.
-TEST_F(Http1ServerTest, PipelinedPostWaitsForThePrecedingAnswers) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n");
-  Accepted first = WaitAccepted();
-  first.handler->WaitEnd();
-  EXPECT_EQ(requests_, 1);
-  first.stream->SendHeaders({{":status", "204"}, {"connection", "close"}}, true);
-  EXPECT_EQ(caller.ReadAll(), "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
-  EXPECT_EQ(requests_, 1);
-}
-
-TEST_F(Http1ServerTest, DrainAnswersPipelinedRequestsAndThenCloses) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /2 HTTP/1.1\r\nhost: h\r\n\r\n");
-  Accepted first = WaitAccepted();
-  Accepted second = WaitAccepted();
-  server_.PrepareDrain();
-  first.stream->SendHeaders({{":status", "204"}}, true);
-  second.stream->SendHeaders({{":status", "204"}}, true);
-  EXPECT_EQ(caller.ReadAll(),
-            "HTTP/1.1 204 No Content\r\n\r\n"
-            "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
-}
-
-// Guards against an answer that asks to close the connection, such as a refusal of a node
-// that drains, and drops the answers behind it that are ready.
-TEST_F(Http1ServerTest, AnAnswerThatClosesIsFollowedByTheAnswersBehindIt) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /2 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /3 HTTP/1.1\r\nhost: h\r\n\r\n");
-  Accepted first = WaitAccepted();
-  Accepted second = WaitAccepted();
-  Accepted third = WaitAccepted();
-  second.stream->SendHeaders({{":status", "204"}}, true);
-  first.stream->SendHeaders(
-      {{":status", "504"}, {"connection", "close"}, {"content-length", "0"}}, true);
-  third.stream->SendHeaders({{":status", "204"}}, true);
-  EXPECT_EQ(caller.ReadAll(),
-            "HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 0\r\n\r\n"
-            "HTTP/1.1 204 No Content\r\n\r\n"
-            "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
-}
-
-// Guards against an answer that was cut while it waited for its turn and takes the
-// answers behind it along.
-TEST_F(Http1ServerTest, ACutAnswerIsFollowedByTheAnswersBehindIt) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "HEAD /2 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /3 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /4 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
-  std::vector<Accepted> accepted;
-  for (int n = 0; n < 4; ++n) accepted.push_back(WaitAccepted());
-  for (int n = 1; n < 3; ++n) {
-    accepted[n].stream->SendHeaders({{":status", "200"}, {"content-length", "9"}}, false);
-    accepted[n].stream->SendData("four", false);
-    accepted[n].stream->Reset();
-  }
-  accepted[3].stream->SendHeaders({{":status", "204"}}, true);
-  accepted[0].stream->SendHeaders({{":status", "204"}}, true);
-  const std::string all = caller.ReadAll();
-  EXPECT_EQ(all.find("HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 502 "), 0U) << all;
-  EXPECT_EQ(all.find("HTTP/1.1 200"), std::string::npos) << all;
-  const std::size_t head = all.find("HTTP/1.1 502 ");
-  const std::size_t get = all.find("HTTP/1.1 502 ", head + 1);
-  const std::size_t head_end = all.find("\r\n\r\n", head);
-  EXPECT_EQ(get, head_end + 4) << "an answer to HEAD has no body";
-  const std::string last = "}HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n";
-  ASSERT_GE(all.size(), last.size());
-  EXPECT_EQ(all.substr(all.size() - last.size()), last);
-  EXPECT_EQ(all.find("connection: close"), all.rfind("connection: close"));
-}
-
-TEST_F(Http1ServerTest, NoRequestBeginsBehindAnAnswerThatCloses) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /2 HTTP/1.1\r\nhost: h\r\n\r\n");
-  Accepted first = WaitAccepted();
-  Accepted second = WaitAccepted();
-  first.stream->SendHeaders({{":status", "204"}, {"connection", "close"}}, true);
-  caller.ReadUntil("\r\n\r\n");
-  caller.Send("GET /3 HTTP/1.1\r\nhost: h\r\n\r\n");
-  second.stream->SendHeaders({{":status", "204"}}, true);
-  EXPECT_EQ(caller.ReadAll(), "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
-  EXPECT_EQ(requests_, 2);
-}
-
-TEST_F(Http1ServerTest, MalformedRequestIsRefusedAfterThePrecedingAnswers) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /2 HTTP/1.1\r\nhost h\r\n\r\n");
-  Accepted first = WaitAccepted();
-  first.stream->SendHeaders({{":status", "204"}}, true);
-  const std::string all = caller.ReadAll();
-  EXPECT_EQ(all.find("HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 400 "), 0U) << all;
-}
-
 TEST(Http1HalfCloseTest, HalfCloseCancelsTheRequestWhenEnabled) {
   WorkerPool workers{2};
   Http1Options options;
@@ -305,37 +111,6 @@
   EXPECT_EQ(server_.open_streams(), 0U);
 }
 
-// Guards against answers that are dropped because a later request was not completed.
-TEST_F(Http1ServerTest, HalfCloseWithinARequestLeavesTheAnswersBeforeIt) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nfour");
-  Accepted first = WaitAccepted();
-  Accepted second = WaitAccepted();
-  caller.EndSending();
-  EXPECT_EQ(second.handler->WaitReset(), ResultCode::kConnectionLost);
-  first.stream->SendHeaders({{":status", "204"}}, true);
-  EXPECT_EQ(caller.ReadAll(), "HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n");
-}
-
-// Guards against an answer that cannot be written and takes the answers behind it along.
-TEST_F(Http1ServerTest, AMalformedAnswerIsFollowedByTheAnswersBehindIt) {
-  RawCaller caller(endpoint_);
-  caller.Send(
-      "GET /1 HTTP/1.1\r\nhost: h\r\n\r\n"
-      "GET /2 HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
-  Accepted first = WaitAccepted();
-  Accepted second = WaitAccepted();
-  second.stream->SendHeaders({{":status", "204"}}, true);
-  first.stream->SendHeaders({{":status", "200"}, {"x-field", "a\nb"}}, true);
-  EXPECT_EQ(first.handler->WaitReset(), ResultCode::kInternalError);
-  const std::string all = caller.ReadAll();
-  EXPECT_EQ(all.find("HTTP/1.1 500 "), 0U) << all;
-  EXPECT_NE(all.find("HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n"),
-            std::string::npos);
-}
-
 TEST_F(Http1ServerTest, HalfCloseWithinARequestResetsItsHandler) {
   RawCaller caller(endpoint_);
   caller.Send("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nfour");
@@ -393,7 +168,7 @@
 
 TEST(Http1TransportTest, DrainServesConnectionsThatWaitToBeAccepted) {
   WorkerPool workers{1};
-  Http1Transport server{&workers, Options()};
+  Http1Transport server{&workers, ServerTestOptions()};
   const Endpoint endpoint =
       server.Listen({"127.0.0.1", 0}, [](const std::string&, const StreamHeaders&,
                                          const std::shared_ptr<Stream>& stream) {
