HTTP/1: a malformed answer within a request is answered with 500 again

Cause: FailAnswer aborts an unfinished request, which is right for a reset answer and was not the former behaviour for a malformed one.

--- a/src/plugins/http1_beast/http1_server_connection.cc
+++ b/src/plugins/http1_beast/http1_server_connection.cc
@@ -202,6 +202,7 @@
     front->answer_done = true;
   } catch (const Error&) {
     if (front->head_sent) return Abort(ResultCode::kAnswerCut);
+    if (!front->request_done) return Refuse(ResultCode::kInternalError);
     FailAnswer(ResultCode::kInternalError, ResultCode::kInternalError);
   }
 }
--- a/tests/http1/http1_server_test.cc
+++ b/tests/http1/http1_server_test.cc
@@ -67,6 +67,17 @@
   EXPECT_EQ(caller.ReadAll().find("0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a caller that gets no answer where one that cannot be written comes
+// before the end of its request.
+TEST_F(Http1ServerTest, AMalformedAnswerBeforeTheEndOfTheRequestIsReplaced) {
+  RawCaller caller(endpoint_);
+  caller.Send("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nfour");
+  Accepted accepted = WaitAccepted();
+  accepted.stream->SendHeaders({{":status", "200"}, {"x-field", "a\nb"}}, true);
+  EXPECT_EQ(accepted.handler->WaitReset(), ResultCode::kInternalError);
+  EXPECT_EQ(caller.ReadUntil("\r\n").find("HTTP/1.1 500 "), 0U);
+}
+
 TEST_F(Http1ServerTest, ResetAnswerHasNoFinalChunk) {
   RawCaller caller(endpoint_);
   caller.Send("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
