Orders: an order's content is parsed once when it is applied

Cause: UnpackOrder parsed the content to compare its digest, and Replace parsed the same bytes again, on each control instance for each change.

Change: UnpackOrder hands the parsed content on.

Measured: the control tests pass as before; the time saved was not measured.

--- a/src/libquetzal/control/intent_machine_order.cc
+++ b/src/libquetzal/control/intent_machine_order.cc
@@ -31,9 +31,8 @@
   CopyAllButNamedLists(*configuration_, &next);
   std::string bytes;
   try {
-    bytes = UnpackOrder(order, {order_number_, replaced_content_});
     ReplacedContent content;
-    content.ParseFromString(bytes);
+    bytes = UnpackOrder(order, {order_number_, replaced_content_}, &content);
     next.mutable_services()->Swap(content.mutable_configuration()->mutable_services());
     next.mutable_routes()->Swap(content.mutable_configuration()->mutable_routes());
     RemoveOrphanedRollouts(&next);
--- a/src/libquetzal/control/order_content.cc
+++ b/src/libquetzal/control/order_content.cc
@@ -39,16 +39,16 @@
 
 // A content that was packed without a base refers to none of its bytes, so one call
 // decompresses both kinds.
-std::string UnpackOrder(const ReplaceConfiguration& order, const AppliedOrder& applied) {
-  std::string content =
+std::string UnpackOrder(const ReplaceConfiguration& order, const AppliedOrder& applied,
+                        ReplacedContent* content) {
+  std::string bytes =
       DecompressAgainst(applied.content, order.packed_content(), kMaxContentBytes);
-  ReplacedContent parsed;
-  if (!parsed.ParseFromString(content) ||
-      DigestOfDocument(parsed.document()) != order.digest()) {
+  if (!content->ParseFromString(bytes) ||
+      DigestOfDocument(content->document()) != order.digest()) {
     throw Error(ResultCode::kMessageMalformed,
                 "The content is not that of the order, so the order was not applied.");
   }
-  return content;
+  return bytes;
 }
 
 }  // namespace quetzal
--- a/src/libquetzal/control/order_content.h
+++ b/src/libquetzal/control/order_content.h
@@ -23,10 +23,11 @@
 ReplaceConfiguration PackOrder(const ReplaceConfiguration& order,
                                const AppliedOrder& applied);
 
-/// Returns the content of a packed order, a serialized ReplacedContent. `applied` must be
+/// Sets `content` to that of a packed order and returns it serialized. `applied` must be
 /// the base of the order. Throws Error(kMessageMalformed) when the result is not the
 /// content that was packed.
-std::string UnpackOrder(const ReplaceConfiguration& order, const AppliedOrder& applied);
+std::string UnpackOrder(const ReplaceConfiguration& order, const AppliedOrder& applied,
+                        ReplacedContent* content);
 
 }  // namespace quetzal
 
