Calls: only a trial proves that a request crashes servers

Cause: a request was convicted by the crashes that it ran in, and a popular request runs in every crash of its service. What spoke for it was one call's observation, told by one node, within 5 s from the first blame. Later crashes, calls that lost both attempts and orders had no such witness.

Change: crashes make a request suspected. It may then run on one server of its service, which all nodes choose alike and preferably one that did not crash, one request at a time. Eight runs there that finish acquit it of the crashes known when they began; two servers that end while they run it on trial prove it. The member record says which requests of a crash ran on trial, and the server's version. SurvivedRequests and its window are gone.

Why it works: a run that begins after the suspicion is known and on one server only is not of the moment of the crashes, however many there were. A request that crashes servers ends both of its trials; another one is answered.

--- a/src/libquetzal/base/result_code.cc
+++ b/src/libquetzal/base/result_code.cc
@@ -95,6 +95,8 @@
       {C::kLoop, "loop", 508, true, "The request came back to the same service."},
       {C::kRequestCrashesServers, "request_crashes_servers", 400, true,
        "The backend servers that ran this request have ended; it is not sent again."},
+      {C::kRequestOnTrial, "request_on_trial", 503, true,
+       "Backend servers ended while this request ran; it may run on one server only."},
       {C::kNodeStarting, "node_starting", 503, true,
        "The node has not applied a current configuration yet."},
       {C::kNodeStopping, "node_stopping", 503, true, "The node is stopping."},
--- a/src/libquetzal/base/result_code.h
+++ b/src/libquetzal/base/result_code.h
@@ -71,6 +71,7 @@
   kHopLimit = 5022,
   kLoop = 5023,
   kRequestCrashesServers = 5024,
+  kRequestOnTrial = 5025,
   kNodeStarting = 5030,
   kNodeStopping = 5031,
   kCredentialUnknown = 5040,
--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -22,6 +22,9 @@
 /// A node that is connected applies a change of a rollout within this time.
 constexpr Duration kOutdatedRetryAfter = std::chrono::milliseconds(500);
 
+/// All nodes know of a crash, or of an acquittal, within this time.
+constexpr Duration kTrialRetryAfter = std::chrono::milliseconds(500);
+
 }  // namespace
 
 class BackendCall::BackendHandler final : public StreamHandler {
@@ -199,12 +202,14 @@
 
 void BackendCall::SendRequest() {
   // The coordinating node may not have heard of the last crash when it sent the request.
-  switch (JudgeCrash()) {
+  const CrashVerdict verdict = JudgeCrash();
+  switch (verdict) {
     case CrashVerdict::kUndecided:
       phase_ = Phase::kGranted;
       return;
     case CrashVerdict::kCrashes:
       return Refuse(ResultCode::kRequestCrashesServers, true, kCrashRetention);
+    case CrashVerdict::kSuspected:
     case CrashVerdict::kHarmless:
       break;
   }
@@ -217,6 +222,10 @@
   if (head_.expects_continue && sent_at_ >= deadline_) {
     return Refuse(ResultCode::kDeadlineExceeded, true, {});
   }
+  const LocalBackendServer server = context_->backend_server();
+  if (verdict == CrashVerdict::kSuspected && !BeginTrial(server)) {
+    return Refuse(ResultCode::kRequestOnTrial, true, kTrialRetryAfter);
+  }
   ++context_->admitted;
   phase_ = Phase::kSent;
   if (keyed()) {
@@ -231,8 +240,8 @@
         });
   }
   const bool complete = body_ended_ && body_.empty();
-  const LocalBackendServer server = context_->backend_server();
   server_id_ = server.id;
+  server_version_ = server.version;
   backend_ = context_->deps.backends->Open(
       server.address, head_.path, BackendHeaders(), complete,
       std::make_shared<BackendHandler>(shared_from_this()));
@@ -403,6 +412,7 @@
     return OnAnswerCut(ResultCode::kAnswerCut);
   }
   context_->finished_requests.Add(Identity());
+  EndTrial(true);
   EndAttempt(AttemptState::kDone);
   ReleaseSlot(answer_is_success_);
   if (!peer_disconnected_) peer_->SendData({}, true);
@@ -439,7 +449,8 @@
   if (!identified || !context_->deps.on_request_cut) return;
   const RequestIdentity identity = Identity();
   context_->deps.on_request_cut({server_id_, identity.Fingerprint(), sent_at_,
-                                 context_->finished_requests.Take(identity)});
+                                 context_->finished_requests.Take(identity),
+                                 trial_.has_value(), server_version_});
 }
 
 RequestIdentity BackendCall::Identity() const {
@@ -454,6 +465,26 @@
   return matcher->snapshot().crashing->Judge(Identity(), body_ended_);
 }
 
+bool BackendCall::BeginTrial(const LocalBackendServer& server) {
+  const auto matcher = context_->matcher();
+  if (!matcher || !matcher->snapshot().crashing) return true;
+  const auto* suspect = matcher->snapshot().crashing->Find(Identity().Fingerprint());
+  const std::uint32_t version = HashOfVersion(server.version);
+  if (suspect == nullptr || !suspect->CrashedVersion(version)) return true;
+  const BackendTarget* target = TrialServer(*suspect, matcher->Targets(head_.service));
+  if (target == nullptr || target->instance != context_->options.instance) return false;
+  trial_ = context_->trials.Begin(*suspect, version);
+  return trial_.has_value();
+}
+
+void BackendCall::EndTrial(bool finished) {
+  if (!trial_) return;
+  const auto acquittal = context_->trials.End(*std::exchange(trial_, {}), finished);
+  if (acquittal && context_->deps.on_trial_passed) {
+    context_->deps.on_trial_passed(*acquittal);
+  }
+}
+
 void BackendCall::OnOutcomeTimeout() {
   if (phase_ == Phase::kEnded) return;
   if (backend_) backend_->Reset();
@@ -488,6 +519,7 @@
 
 void BackendCall::EndCall() {
   phase_ = Phase::kEnded;
+  EndTrial(false);
   timer_.reset();
   body_.clear();
   peer_.reset();
--- a/src/libquetzal/calls/backend_call.h
+++ b/src/libquetzal/calls/backend_call.h
@@ -70,6 +70,9 @@
   void ReportCut();
   RequestIdentity Identity() const;
   CrashVerdict JudgeCrash() const;
+  /// False when a suspected request may not run on the local server now.
+  bool BeginTrial(const LocalBackendServer& server);
+  void EndTrial(bool finished);
   /// Handles a response that is not an answer to this request: a refusal by the server,
   /// or the answer to another request. False for an answer.
   bool HandleNonAnswer(const AnswerMetadata& metadata);
@@ -96,6 +99,8 @@
   std::uint64_t admission_id_ = 0;
   SteadyTime sent_at_;
   std::string server_id_;  ///< Of the server process that the request was sent to.
+  std::string server_version_;
+  std::optional<RequestTrials::Run> trial_;
 
   std::vector<std::string> body_;  ///< Received before a slot was free.
   std::string identified_body_;    ///< The part that counts for the fingerprint.
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -19,6 +19,7 @@
 #include "calls/load_table.h"
 #include "calls/local_stream.h"
 #include "calls/refusal_rates.h"
+#include "calls/request_trials.h"
 #include "calls/retry_budgets.h"
 #include "calls/rollout_router.h"
 #include "calls/route_matcher.h"
@@ -72,6 +73,7 @@
   CallerTimeoutEstimator caller_timeouts;
   AttemptTable attempts;
   FinishedRequests finished_requests;
+  RequestTrials trials;  ///< At the local backend server.
   const std::shared_ptr<BackendAdmission> admission;
   DrainGate drain;
   LocalStreams local_streams;
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "base/random.h"
+#include "calls/crash_report.h"
 #include "calls/request_fingerprint.h"
 #include "calls/routing_snapshot.h"
 #include "distribution.pb.h"
@@ -60,6 +61,8 @@
   RequestFingerprint request;
   SteadyTime sent_at;
   bool finished_before = false;  ///< It has run to its end, and was not cut since.
+  bool on_trial = false;         ///< It was known to be suspected.
+  std::string server_version;    ///< Of the server's software; empty: not stated.
 };
 
 /// Dependencies of a CallPath; all of them must outlive it.
@@ -88,9 +91,9 @@
   /// answer's end; may be null.
   std::function<void(const CutRequest& cut)> on_request_cut;
 
-  /// Called when a server has answered a request that another one may have begun and did
-  /// not answer; may be null.
-  std::function<void(const RequestFingerprint& request)> on_request_survived;
+  /// Called when the local backend server has answered a suspected request often enough;
+  /// may be null.
+  std::function<void(const Acquittal& acquittal)> on_trial_passed;
 };
 
 /// The backend server of this node, as the server announced itself.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -140,15 +140,15 @@
   return identity;
 }
 
-CrashVerdict CallerCall::JudgeCrash() const {
+CrashVerdict CallerCall::JudgeCrash() {
+  suspected_.reset();
   const auto matcher = context_->matcher();
   if (!matcher || !matcher->snapshot().crashing) return CrashVerdict::kHarmless;
-  return matcher->snapshot().crashing->Judge(Identity(), body_.ended());
-}
-
-void CallerCall::ReportSurvival() const {
-  if (lost_attempts_ == 0 || !context_->deps.on_request_survived) return;
-  context_->deps.on_request_survived(Identity().Fingerprint());
+  const RequestIdentity identity = Identity();
+  const CrashVerdict verdict =
+      matcher->snapshot().crashing->Judge(identity, body_.ended());
+  if (verdict == CrashVerdict::kSuspected) suspected_ = identity.Fingerprint();
+  return verdict;
 }
 
 void CallerCall::RefuseCrashing() {
@@ -384,7 +384,8 @@
   event.fields.emplace_back("attempts", std::to_string(attempts_));
   event.fields.emplace_back("tried", tried_.empty() ? "" : tried_.back());
   event.fields.emplace_back("version", std::to_string(version_));
-  if (refusal.code == ResultCode::kRequestCrashesServers) {
+  if (refusal.code == ResultCode::kRequestCrashesServers ||
+      refusal.code == ResultCode::kRequestOnTrial) {
     event.fields.emplace_back("request_hash", ToString(Identity().Fingerprint()));
   }
   context_->deps.events->Emit(event);
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -61,10 +61,8 @@
   /// Starts the first attempt once it is known that the request may be sent.
   void StartWhenJudged();
   RequestIdentity Identity() const;
-  CrashVerdict JudgeCrash() const;
+  CrashVerdict JudgeCrash();
   void RefuseCrashing();
-  /// The request was answered after an attempt that may have run was lost.
-  void ReportSurvival() const;
   void ClaimWhenBodyIsComplete();
   std::string Fingerprint() const;
 
@@ -72,6 +70,8 @@
   void StartNextAttempt();
   void SetRoute(const RouteMatcher& matcher, const Route& route);
   std::shared_ptr<const RouteMatcher> RefreshRoute();
+  /// The servers that the next attempt may use; valid until the next call.
+  const RolloutRouter::Targets& Targets(const RouteMatcher& matcher);
   bool HasUntriedInstance();
   std::optional<BackendTarget> NextTarget();
   std::optional<BackendTarget> ChooseTarget();
@@ -141,6 +141,9 @@
   SteadyTime deadline_;
   std::unique_ptr<Timer> timer_;
   bool awaits_verdict_ = false;  ///< On whether it crashes servers.
+  std::optional<RequestFingerprint>
+      suspected_;  ///< Of a request that runs on trial only.
+  RolloutRouter::Targets trial_targets_;
   bool deadline_passed_ = false;
   bool caller_disconnected_ = false;
 
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -1,5 +1,6 @@
 // The part of CallerCall that tries backend servers one after another.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "calls/caller_call.h"
@@ -114,6 +115,22 @@
   return latest;
 }
 
+const RolloutRouter::Targets& CallerCall::Targets(const RouteMatcher& matcher) {
+  const RolloutRouter::Targets& targets = rollout_.Targets(matcher, service_);
+  const auto& crashing = matcher.snapshot().crashing;
+  if (!suspected_ || !crashing) return targets;
+  const CrashingRequests::Entry* suspect = crashing->Find(*suspected_);
+  if (suspect == nullptr) return targets;
+  const BackendTarget* trial_server = TrialServer(*suspect, matcher.Targets(service_));
+  trial_targets_.clear();
+  std::copy_if(targets.begin(), targets.end(), std::back_inserter(trial_targets_),
+               [&](const BackendTarget* target) {
+                 return target == trial_server ||
+                        !suspect->CrashedVersion(HashOfVersion(target->version));
+               });
+  return trial_targets_;
+}
+
 bool CallerCall::HasUntriedInstance() {
   const auto matcher = RefreshRoute();
   if (!matcher) return false;
@@ -122,7 +139,7 @@
            std::find(tried_.begin(), tried_.end(), target->instance) == tried_.end();
   };
   const auto has_untried = [&] {
-    const auto& targets = rollout_.Targets(*matcher, service_);
+    const auto& targets = Targets(*matcher);
     return std::any_of(targets.begin(), targets.end(), is_untried);
   };
   return has_untried() || (rollout_.UseOldVersion() && has_untried());
@@ -148,7 +165,7 @@
   const SteadyTime now = context_->Now();
   const Duration bearable = std::max<Duration>(Duration::zero(), Objective() - now);
   std::vector<FullInstance> full;
-  for (const BackendTarget* target : rollout_.Targets(*matcher, service_)) {
+  for (const BackendTarget* target : Targets(*matcher)) {
     if (target->state != SERVER_UP) continue;
     const Duration wait =
         context_->known_waits.Remaining(target->instance, Priority(), now);
@@ -167,7 +184,7 @@
   std::stable_sort(full_.begin(), full_.end(), by_wait);
   RememberRefusal({ResultCode::kServerFull, true, full_.front().wait});
   if (!matcher) return std::nullopt;
-  const auto& targets = rollout_.Targets(*matcher, service_);
+  const auto& targets = Targets(*matcher);
   // An instance may have left, or be of a version that the request may not use any more.
   for (std::size_t n = 0; n < full_.size(); ++n) {
     const FullInstance full = full_[n];
@@ -198,9 +215,7 @@
   if (service != nullptr) {
     options.slow_start = std::chrono::milliseconds(service->slow_start_ms());
   }
-  const auto choose = [&] {
-    return context_->loads.Choose(rollout_.Targets(*matcher, service_), options);
-  };
+  const auto choose = [&] { return context_->loads.Choose(Targets(*matcher), options); };
   const BackendTarget* chosen = choose();
   if (chosen == nullptr && rollout_.UseOldVersion()) chosen = choose();
   if (chosen == nullptr) return std::nullopt;
@@ -268,7 +283,8 @@
 bool CallerCall::MayRetry(bool uses_retry_budget) {
   const int limit = route_->objective_ms() > 0 ? kMaxAttemptsWithProbes : kMaxAttempts;
   if (!body_.replayable() || attempts_ >= limit || answer_.committed()) return false;
-  if (lost_attempts_ >= kMaxLostAttempts) return false;
+  // A run on trial that is lost may have ended its server.
+  if (lost_attempts_ >= (suspected_ ? 1 : kMaxLostAttempts)) return false;
   if (route_->attempts() > 0 && servers_reached_ >= route_->attempts()) return false;
   return !uses_retry_budget ||
          (HasUntriedInstance() && context_->budgets.Spend(service_));
@@ -292,6 +308,7 @@
 void CallerCall::RetryOrRefuse(const Refusal& refusal) {
   if (refusal.code == ResultCode::kRequestCrashesServers) return RefuseCrashing();
   RememberRefusal(refusal);
+  if (refusal.code == ResultCode::kRequestOnTrial) return Refuse(last_refusal_);
   if (refusal.reached_server) ++servers_reached_;
   if (refusal.reached_server && !refusal.not_run) ++lost_attempts_;
   const bool may_repeat = last_refusal_.not_run || route_->idempotent();
@@ -369,7 +386,6 @@
     EndAttempt(AttemptEnd::kFailed, VersionOutcome::kFailed);
   } else {
     EndAttempt(AttemptEnd::kAnswered, VersionOutcome::kAnswered);
-    ReportSurvival();
   }
   ++servers_reached_;
   if (!guard_ && route_->idempotent() && answer_.unavailable() && MayRetry(true)) {
--- a/src/libquetzal/calls/crash_report.cc
+++ b/src/libquetzal/calls/crash_report.cc
@@ -1,9 +1,29 @@
 #include "calls/crash_report.h"
 
 #include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
 
 namespace quetzal {
 
+std::uint32_t HashOfVersion(const std::string& version) {
+  return version.empty() ? 0 : XXH32(version.data(), version.size(), 0);
+}
+
+void KeepRequests(const std::function<bool(const RequestFingerprint& request)>& keep,
+                  CrashReport* crash) {
+  std::vector<RequestFingerprint> kept;
+  std::size_t on_trial = 0;
+  for (std::size_t n = 0; n < crash->requests.size(); ++n) {
+    if (!keep(crash->requests[n])) continue;
+    kept.push_back(crash->requests[n]);
+    if (n < crash->on_trial) ++on_trial;
+  }
+  crash->requests = std::move(kept);
+  crash->on_trial = on_trial;
+}
+
 ServerCrash ToMessage(const CrashReport& crash) {
   ServerCrash message;
   message.set_id(crash.id);
@@ -11,12 +31,17 @@
     message.add_heads(request.head);
     message.add_digests(request.digest);
   }
+  message.set_on_trial(static_cast<std::uint32_t>(crash.on_trial));
+  message.set_server_version(crash.server_version);
   return message;
 }
 
-CrashReport FromMessage(const ServerCrash& message) {
+CrashReport FromMessage(const ServerCrash& message, const std::string& instance) {
   CrashReport crash;
   crash.id = message.id();
+  crash.instance = instance;
+  crash.on_trial = message.on_trial();
+  crash.server_version = message.server_version();
   const int count = std::min(message.heads_size(), message.digests_size());
   for (int n = 0; n < count; ++n) {
     crash.requests.push_back({message.heads(n), message.digests(n)});
--- a/src/libquetzal/calls/crashing_requests.cc
+++ b/src/libquetzal/calls/crashing_requests.cc
@@ -8,56 +8,63 @@
 namespace quetzal {
 namespace {
 
-/// A request that ran in so many crashes is taken for their cause, whatever ran beside
-/// it.
-constexpr std::size_t kCrashesOfACause = 3;
+/// A request that ran in so many crashes is suspected, whatever ran beside it.
+constexpr std::size_t kCrashesOfASuspect = 3;
 
-/// In so many crashes, a request is the cause if nothing else ran in all of them.
+/// In so many crashes, a request is suspected if nothing else ran in all of them.
 constexpr std::size_t kCrashesOfASoleSuspect = 2;
 
-/// Finds the causes of crashes. A crash with a known cause clears the other requests that
+/// Finds the suspects of crashes. A crash with a suspect clears the other requests that
 /// ran in it.
-class CauseFinder {
+class SuspectFinder {
  public:
-  CauseFinder(const std::vector<CrashReport>& reports,
-              const std::vector<Acquittal>& acquittals) {
+  SuspectFinder(const std::vector<CrashReport>& reports,
+                const std::vector<Acquittal>& acquittals) {
     std::set<std::uint64_t> seen;
     for (const CrashReport& report : reports) {
       if (!seen.insert(report.id).second) continue;
-      for (const RequestFingerprint& request : report.requests) {
-        Suspect& suspect = suspects_[request.digest];
-        suspect.request = request;
+      for (std::size_t n = 0; n < report.requests.size(); ++n) {
+        Suspect& suspect = suspects_[report.requests[n].digest];
+        suspect.request = report.requests[n];
         suspect.crashes.insert(report.id);
+        // Of several requests on trial, none is proven by the crash.
+        if (n == 0 && report.on_trial == 1) suspect.on_trial.insert(report.id);
+        if (report.requests.size() == 1) suspect.ran_alone = true;
       }
+      servers_[report.id] = {report.server_version, report.instance};
     }
     for (const Acquittal& acquittal : acquittals) {
       const auto it = suspects_.find(acquittal.digest);
       if (it == suspects_.end()) continue;
-      for (const std::uint64_t crash : acquittal.crashes) it->second.crashes.erase(crash);
+      for (const std::uint64_t crash : acquittal.crashes) it->second.Clear(crash);
     }
-    // Most requests ran in one crash only, and cannot become a cause.
+    // Most requests ran in one crash only, beside others.
     for (auto it = suspects_.begin(); it != suspects_.end();) {
-      const bool once = it->second.crashes.size() < kCrashesOfASoleSuspect;
-      it = once ? suspects_.erase(it) : std::next(it);
+      it = it->second.IsClear() ? suspects_.erase(it) : std::next(it);
     }
   }
 
   std::vector<CrashingRequests::Entry> Find() {
-    std::vector<CrashingRequests::Entry> causes;
+    std::vector<CrashingRequests::Entry> entries;
     for (;;) {
-      std::vector<std::uint64_t> found = RepeatedCauses();
+      auto found = SuspectsWhere(
+          [](const Suspect& s) { return s.on_trial.size() >= kCrashesOnTrial; });
+      if (found.empty()) {
+        found = SuspectsWhere(
+            [](const Suspect& s) { return s.crashes.size() >= kCrashesOfASuspect; });
+      }
       if (found.empty()) found = SoleSuspects();
-      if (found.empty()) return causes;
+      if (found.empty()) return entries;
       std::set<std::uint64_t> explained;
       for (const std::uint64_t digest : found) {
         const auto it = suspects_.find(digest);
-        const std::set<std::uint64_t>& crashes = it->second.crashes;
-        explained.insert(crashes.begin(), crashes.end());
-        causes.push_back({it->second.request, {crashes.begin(), crashes.end()}});
+        const Suspect& suspect = it->second;
+        explained.insert(suspect.crashes.begin(), suspect.crashes.end());
+        entries.push_back(EntryOf(suspect));
         suspects_.erase(it);
       }
       for (auto& [digest, suspect] : suspects_) {
-        for (const std::uint64_t crash : explained) suspect.crashes.erase(crash);
+        for (const std::uint64_t crash : explained) suspect.Clear(crash);
       }
     }
   }
@@ -66,12 +73,26 @@
   struct Suspect {
     RequestFingerprint request;
     std::set<std::uint64_t> crashes;
+    std::set<std::uint64_t> on_trial;  ///< Those of crashes where it ran on trial.
+    bool ran_alone = false;            ///< Nothing else ran in one of the crashes.
+
+    void Clear(std::uint64_t crash) {
+      crashes.erase(crash);
+      on_trial.erase(crash);
+    }
+    bool IsClear() const { return crashes.size() < (ran_alone ? 1 : 2); }
   };
 
-  std::vector<std::uint64_t> RepeatedCauses() const {
+  struct Server {
+    std::uint32_t version = 0;  ///< HashOfVersion.
+    std::string instance;
+  };
+
+  template <class Predicate>
+  std::vector<std::uint64_t> SuspectsWhere(Predicate predicate) const {
     std::vector<std::uint64_t> found;
     for (const auto& [digest, suspect] : suspects_) {
-      if (suspect.crashes.size() >= kCrashesOfACause) found.push_back(digest);
+      if (predicate(suspect)) found.push_back(digest);
     }
     return found;
   }
@@ -79,7 +100,8 @@
   std::vector<std::uint64_t> SoleSuspects() const {
     std::map<std::set<std::uint64_t>, std::vector<std::uint64_t>> by_crashes;
     for (const auto& [digest, suspect] : suspects_) {
-      if (suspect.crashes.size() == kCrashesOfASoleSuspect) {
+      const bool alone = suspect.ran_alone && suspect.crashes.size() == 1;
+      if (alone || suspect.crashes.size() == kCrashesOfASoleSuspect) {
         by_crashes[suspect.crashes].push_back(digest);
       }
     }
@@ -90,28 +112,59 @@
     return found;
   }
 
+  CrashingRequests::Entry EntryOf(const Suspect& suspect) const {
+    CrashingRequests::Entry entry;
+    entry.request = suspect.request;
+    for (const std::uint64_t crash : suspect.crashes) {
+      entry.crashes.push_back(crash);
+      const Server& server = servers_.at(crash);
+      entry.server_versions.push_back(server.version);
+      entry.instances.insert(server.instance);
+    }
+    entry.crashes_on_trial = suspect.on_trial.size();
+    return entry;
+  }
+
   std::map<std::uint64_t, Suspect> suspects_;  ///< By digest.
+  std::map<std::uint64_t, Server> servers_;    ///< By crash.
 };
 
 }  // namespace
 
+bool CrashingRequests::Entry::CrashedVersion(std::uint32_t version) const {
+  return std::find(server_versions.begin(), server_versions.end(), version) !=
+         server_versions.end();
+}
+
 CrashingRequests::CrashingRequests(const std::vector<CrashReport>& reports,
                                    const std::vector<Acquittal>& acquittals)
-    : entries_(CauseFinder(reports, acquittals).Find()) {
+    : entries_(SuspectFinder(reports, acquittals).Find()), acquittals_(acquittals) {
   std::sort(entries_.begin(), entries_.end(), [](const Entry& a, const Entry& b) {
     return a.request.digest < b.request.digest;
   });
-  for (const Entry& entry : entries_) {
-    digests_.emplace(entry.request.head, entry.request.digest);
+  for (std::size_t n = 0; n < entries_.size(); ++n) {
+    by_head_.emplace(entries_[n].request.head, n);
   }
 }
 
 CrashVerdict CrashingRequests::Judge(const RequestIdentity& request,
                                      bool body_complete) const {
-  if (digests_.count(request.HeadDigest()) == 0) return CrashVerdict::kHarmless;
+  if (empty() || by_head_.count(request.HeadDigest()) == 0) {
+    return CrashVerdict::kHarmless;
+  }
   if (!body_complete && !request.body_full()) return CrashVerdict::kUndecided;
-  return Contains(request.Fingerprint()) ? CrashVerdict::kCrashes
-                                         : CrashVerdict::kHarmless;
+  const Entry* entry = Find(request.Fingerprint());
+  if (entry == nullptr) return CrashVerdict::kHarmless;
+  return entry->proven() ? CrashVerdict::kCrashes : CrashVerdict::kSuspected;
+}
+
+const CrashingRequests::Entry* CrashingRequests::Find(
+    const RequestFingerprint& request) const {
+  const auto [begin, end] = by_head_.equal_range(request.head);
+  const auto it = std::find_if(begin, end, [&](const auto& head) {
+    return entries_[head.second].request.digest == request.digest;
+  });
+  return it == end ? nullptr : &entries_[it->second];
 }
 
 const CrashingRequests::Entry* CrashingRequests::Find(const std::string& hash) const {
@@ -121,10 +174,9 @@
   return it == entries_.end() ? nullptr : &*it;
 }
 
-bool CrashingRequests::Contains(const RequestFingerprint& request) const {
-  const auto [begin, end] = digests_.equal_range(request.head);
-  return std::any_of(begin, end,
-                     [&](const auto& entry) { return entry.second == request.digest; });
+bool CrashingRequests::IsCause(const RequestFingerprint& request) const {
+  const Entry* entry = Find(request);
+  return entry != nullptr && entry->proven();
 }
 
 }  // namespace quetzal
--- a/src/libquetzal/distribution/node_distribution_core.cc
+++ b/src/libquetzal/distribution/node_distribution_core.cc
@@ -290,17 +290,19 @@
 
 void NodeDistribution::Core::RefreshCrashingRequests() {
   ServerObservations observations;
+  std::vector<const std::string*> instances;  // Of the crashes.
   for (const auto& [name, entry] : membership_->table().entries()) {
     const ServerObservations& observed = entry.member.server().observations();
     observations.mutable_crashes()->MergeFrom(observed.crashes());
     observations.mutable_acquittals()->MergeFrom(observed.acquittals());
+    instances.resize(static_cast<std::size_t>(observations.crashes_size()), &name);
   }
   std::string serialized = observations.SerializeAsString();
   if (serialized == observations_) return;
   observations_ = std::move(serialized);
   std::vector<CrashReport> reports;
   for (const ServerCrash& crash : observations.crashes()) {
-    reports.push_back(FromMessage(crash));
+    reports.push_back(FromMessage(crash, *instances[reports.size()]));
   }
   std::vector<Acquittal> acquittals;
   for (const CrashAcquittal& acquittal : observations.acquittals()) {
@@ -308,7 +310,8 @@
   }
   auto crashing = std::make_shared<const CrashingRequests>(reports, acquittals);
   EmitCrashingRequests(*crashing);
-  crashing_ = crashing->empty() ? nullptr : std::move(crashing);
+  const bool idle = crashing->empty() && crashing->acquittals().empty();
+  crashing_ = idle ? nullptr : std::move(crashing);
   configuration_.SetCrashingRequests(crashing_);
 }
 
@@ -318,12 +321,14 @@
                 {"crashes", std::to_string(entry.crashes.size())}});
   };
   for (const auto& entry : latest.entries()) {
-    const bool known = crashing_ != nullptr && crashing_->Contains(entry.request);
-    if (!known) emit("request.blocked", entry);
+    const auto* known = crashing_ == nullptr ? nullptr : crashing_->Find(entry.request);
+    if (known != nullptr && known->proven() == entry.proven()) continue;
+    emit(entry.proven() ? "request.blocked" : "request.suspected", entry);
   }
   if (crashing_ == nullptr) return;
   for (const auto& entry : crashing_->entries()) {
-    if (!latest.Contains(entry.request)) emit("request.unblocked", entry);
+    if (latest.Find(entry.request) != nullptr) continue;
+    emit(entry.proven() ? "request.unblocked" : "request.cleared", entry);
   }
 }
 
--- a/src/libquetzal/node/backend_server_monitor.cc
+++ b/src/libquetzal/node/backend_server_monitor.cc
@@ -78,8 +78,7 @@
       events_(events),
       observer_(std::move(observer)),
       crash_detector_(clock),
-      crash_log_(clock),
-      survived_(clock) {}
+      crash_log_(clock) {}
 
 void BackendServerMonitor::Announce(const std::string& json) {
   LocalBackendServer server = ParseAnnouncement(json);
@@ -222,30 +221,17 @@
   SetServerLocked(server_);
 }
 
-void BackendServerMonitor::RecordCrashingRequests(
-    std::shared_ptr<const CrashingRequests> causes) {
+void BackendServerMonitor::RecordCrashingRequests(const CrashingRequests& causes) {
   std::lock_guard<std::mutex> lock(mutex_);
-  causes_ = std::move(causes);
-  crash_log_.Explain(*causes_);
-  ExcuseSurvivorsLocked();
+  crash_log_.Explain(causes);
   SetServerLocked(server_);
 }
 
-void BackendServerMonitor::RecordSurvivor(const RequestFingerprint& request) {
-  std::lock_guard<std::mutex> lock(mutex_);
-  survived_.Record(request);
-  if (causes_ == nullptr) return;
-  ExcuseSurvivorsLocked();
-  SetServerLocked(server_);
-}
-
-void BackendServerMonitor::ExcuseSurvivorsLocked() {
-  for (const Acquittal& acquittal : survived_.Excuse(*causes_)) {
-    crash_log_.Acquit(acquittal);
-    events_->Emit({"request.excused",
-                   {{"request_hash", ToString({0, acquittal.digest})},
-                    {"crashes", std::to_string(acquittal.crashes.size())}}});
-  }
+void BackendServerMonitor::RecordTrialPassed(const Acquittal& acquittal) {
+  events_->Emit({"request.acquitted",
+                 {{"request_hash", ToString({0, acquittal.digest})},
+                  {"crashes", std::to_string(acquittal.crashes.size())}}});
+  Acquit(acquittal);
 }
 
 void BackendServerMonitor::MarkLeaving() {
@@ -288,7 +274,8 @@
   events_->Emit({"server.crashed",
                  {{"server", crash_detector_.crashed_server()},
                   {"suspects", std::to_string(crash->requests.size())},
-                  {"requests", requests}}});
+                  {"requests", requests},
+                  {"on_trial", std::to_string(crash->on_trial)}}});
   if (crash->requests.empty()) return;
   crash_log_.Add(*crash);
   SetServerLocked(server_);
--- a/src/libquetzal/node/backend_server_monitor.h
+++ b/src/libquetzal/node/backend_server_monitor.h
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -15,7 +14,6 @@
 #include "node/crash_detector.h"
 #include "node/crash_log.h"
 #include "node/departed_servers.h"
-#include "node/survived_requests.h"
 
 namespace quetzal {
 
@@ -75,12 +73,12 @@
   /// Tells the fleet that these crashes no longer count against the request.
   void Acquit(const Acquittal& acquittal);
 
-  /// Forgets which other requests ran in the crashes that these caused, and acquits those
-  /// that another server has answered.
-  void RecordCrashingRequests(std::shared_ptr<const CrashingRequests> causes);
+  /// The same, as a trial at the local backend server showed.
+  void RecordTrialPassed(const Acquittal& acquittal);
 
-  /// Records that a server has answered a request that another one did not.
-  void RecordSurvivor(const RequestFingerprint& request);
+  /// Forgets which other requests ran in the crashes that these caused, and requests that
+  /// were acquitted of their crashes.
+  void RecordCrashingRequests(const CrashingRequests& causes);
 
   /// Marks the server as leaving, so that it gets no new requests.
   void MarkLeaving();
@@ -112,7 +110,6 @@
   /// Marks the server as leaving if its incarnation is among departed_.
   void ApplyDepartureLocked();
   void ReportCrashLocked();
-  void ExcuseSurvivorsLocked();
   void EmitHeartbeat(const ServerHeartbeat& heartbeat, const char* outcome);
 
   const Duration timeout_;
@@ -126,8 +123,6 @@
   DepartedServers departed_;
   CrashDetector crash_detector_;
   CrashLog crash_log_;
-  SurvivedRequests survived_;
-  std::shared_ptr<const CrashingRequests> causes_;  ///< The latest; null before them.
   std::uint64_t crashes_ = 0;
   bool awaits_former_ = false;
   bool stopped_ = false;
--- a/src/libquetzal/node/crash_detector.cc
+++ b/src/libquetzal/node/crash_detector.cc
@@ -69,13 +69,24 @@
   // The same request may run several times at once. What has finished before is not to
   // blame for this crash.
   std::set<std::uint64_t> left_out;
+  // A request that also ran before it was known to be suspected may be of the same moment
+  // as the former crashes.
+  std::set<std::uint64_t> untried;
   for (const TimedCut& cut : cuts) {
     if (cut.cut.finished_before) left_out.insert(cut.cut.request.digest);
+    if (!cut.cut.on_trial) untried.insert(cut.cut.request.digest);
   }
+  std::stable_partition(cuts.begin(), cuts.end(), [&](const TimedCut& cut) {
+    return untried.count(cut.cut.request.digest) == 0;
+  });
   for (const TimedCut& cut : cuts) {
-    if (!left_out.insert(cut.cut.request.digest).second) continue;
-    if (crash.requests.size() < kMaxRequests) crash.requests.push_back(cut.cut.request);
+    const std::uint64_t digest = cut.cut.request.digest;
+    if (!left_out.insert(digest).second) continue;
+    if (crash.requests.size() >= kMaxRequests) break;
+    crash.requests.push_back(cut.cut.request);
+    if (untried.count(digest) == 0) ++crash.on_trial;
   }
+  crash.server_version = HashOfVersion(cuts.front().cut.server_version);
   crashed_server_ = ended_server_;
   return crash;
 }
--- a/src/libquetzal/node/crash_log.cc
+++ b/src/libquetzal/node/crash_log.cc
@@ -56,14 +56,26 @@
 
 void CrashLog::Explain(const CrashingRequests& causes) {
   for (Entry& entry : entries_) {
-    std::vector<RequestFingerprint> found;
-    for (const RequestFingerprint& request : entry.crash.requests) {
-      if (causes.Contains(request)) found.push_back(request);
-    }
-    if (found.empty()) continue;
-    entry.crash.requests = std::move(found);
+    const auto& requests = entry.crash.requests;
+    const auto is_cause = [&](const RequestFingerprint& r) { return causes.IsCause(r); };
+    if (std::none_of(requests.begin(), requests.end(), is_cause)) continue;
+    KeepRequests(is_cause, &entry.crash);
     entry.explained = true;
   }
+  for (const Acquittal& acquittal : causes.acquittals()) {
+    for (Entry& entry : entries_) {
+      const auto& crashes = acquittal.crashes;
+      if (std::find(crashes.begin(), crashes.end(), entry.crash.id) == crashes.end()) {
+        continue;
+      }
+      KeepRequests(
+          [&](const RequestFingerprint& r) { return r.digest != acquittal.digest; },
+          &entry.crash);
+    }
+  }
+  const auto is_empty = [](const Entry& entry) { return entry.crash.requests.empty(); };
+  entries_.erase(std::remove_if(entries_.begin(), entries_.end(), is_empty),
+                 entries_.end());
 }
 
 bool CrashLog::DropExpired() {
--- a/src/libquetzal/node/crash_log.h
+++ b/src/libquetzal/node/crash_log.h
@@ -26,7 +26,8 @@
   /// Adds one of an earlier run of this node; false if the request has one already.
   bool AddFormer(const Acquittal& acquittal);
 
-  /// Keeps, of each crash that `causes` explain, only its causes.
+  /// Keeps, of each crash with a proven cause, only its causes, and drops the requests
+  /// that were acquitted of it.
   void Explain(const CrashingRequests& causes);
 
   /// True when there were expired ones.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -207,8 +207,9 @@
   calls.on_request_cut = [this](const CutRequest& cut) {
     node_executor_->Post([this, cut] { backend_monitor_->RecordCut(cut); });
   };
-  calls.on_request_survived = [this](const RequestFingerprint& request) {
-    node_executor_->Post([this, request] { backend_monitor_->RecordSurvivor(request); });
+  calls.on_trial_passed = [this](const Acquittal& acquittal) {
+    node_executor_->Post(
+        [this, acquittal] { backend_monitor_->RecordTrialPassed(acquittal); });
   };
   CallOptions options;
   options.instance = instance_;
@@ -302,7 +303,7 @@
   if (snapshot && !accepting_ && distribution_->status().joined) StartAccepting();
   if (snapshot && snapshot->crashing && snapshot->crashing != crashing_) {
     crashing_ = snapshot->crashing;
-    backend_monitor_->RecordCrashingRequests(crashing_);
+    backend_monitor_->RecordCrashingRequests(*crashing_);
   }
   if (!snapshot || snapshot->version.index() <= keys_version_.index()) return;
   keys_version_ = snapshot->version;
--- a/src/node/node_admin.cc
+++ b/src/node/node_admin.cc
@@ -101,7 +101,9 @@
 }
 
 Json ToJson(const CrashingRequests::Entry& entry) {
-  return {{"request_hash", ToString(entry.request)}, {"crashes", entry.crashes.size()}};
+  return {{"request_hash", ToString(entry.request)},
+          {"crashes", entry.crashes.size()},
+          {"state", entry.proven() ? "blocked" : "on_trial"}};
 }
 
 Json CrashingRequestsJson(const NodeReport& report) {
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -15,6 +15,15 @@
   return {name, help, MetricKind::kGauge, static_cast<double>(value)};
 }
 
+std::uint64_t CountEntries(const std::shared_ptr<const CrashingRequests>& requests,
+                           bool proven) {
+  if (!requests) return 0;
+  const auto& entries = requests->entries();
+  return static_cast<std::uint64_t>(
+      std::count_if(entries.begin(), entries.end(),
+                    [&](const auto& entry) { return entry.proven() == proven; }));
+}
+
 /// Only the teams refused most often get metrics of their own, so that a configuration
 /// with thousands of teams does not create as many time series.
 constexpr std::size_t kTeamsInMetrics = 20;
@@ -72,7 +81,10 @@
               "Ends of the backend server while requests ran on it.", report.crashes),
       Gauge("quetzal_crashing_requests",
             "Requests that are refused as they crash servers.",
-            report.crashing ? report.crashing->entries().size() : 0),
+            CountEntries(report.crashing, true)),
+      Gauge("quetzal_suspected_requests",
+            "Requests that ran in crashes, and run on one server only.",
+            CountEntries(report.crashing, false)),
       Counter("quetzal_calls_blocked_total", "Refusals of these requests.",
               calls.blocked),
       Counter("quetzal_calls_credential_unknown_total",
--- a/tests/node/crash_detector_test.cc
+++ b/tests/node/crash_detector_test.cc
@@ -42,6 +42,26 @@
   EXPECT_TRUE(TakeRequests().empty());
 }
 
+// Guards against a request that is proven by a run that began before it was suspected.
+TEST_F(CrashDetectorTest, RequestsOnTrialAreNamedFirst) {
+  const auto cut = [this](std::uint64_t request, bool on_trial) {
+    clock_.Advance(milliseconds(1));
+    detector_.RecordCut({"i-1", {1, request}, clock_.Now(), false, on_trial, "v2"});
+  };
+  cut(1, true);
+  cut(2, false);
+  cut(3, true);
+  cut(3, false);
+  detector_.RecordEnd("i-1");
+  clock_.Advance(milliseconds(60));
+  const auto crash = detector_.TakeCrash();
+  ASSERT_TRUE(crash);
+  ASSERT_EQ(crash->requests.size(), 3U);
+  EXPECT_EQ(crash->requests[0].digest, 1U);
+  EXPECT_EQ(crash->on_trial, 1U);
+  EXPECT_EQ(crash->server_version, HashOfVersion("v2"));
+}
+
 // Guards against lost or spoilt answers that count as crashes.
 TEST_F(CrashDetectorTest, ACutWithoutAnEndIsNoCrash) {
   Cut("i-1", 1);
