Calls: a stopping node passes on nothing that cannot end before it does

What callers saw (a report of other operators, played on with three real nodes): of 18 requests around one SIGTERM, with a grace of 6 s, eight were cut without an answer at 5.7 s. Six were uploads whose last byte came 4.0 s or 5.2 s after the signal, three of them on a route that is not idempotent.

Cause: a request was taken when its head was read. Whether the node still takes requests, and whether a run can end in time, was not asked again at the end of the body, when a slot became free, or before the next attempt; at the limit the process ended with what was in flight.

Change: the call path is told when the process ends. From then on a request counts as taken once its body is whole; it is not passed on, first or again, before or after a confirmation, from callers or peers, if it can hardly end in time; and 0.4 s before the stop limit every caller in flight is answered, "not run" or "outcome unknown".

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -222,6 +222,9 @@
   if (head_.expects_continue && sent_at_ >= deadline_) {
     return Refuse(ResultCode::kDeadlineExceeded, true, {});
   }
+  if (!context_->EndsInTime(context_->admission->load().service_time)) {
+    return Refuse(ResultCode::kNodeStopping, true, {});
+  }
   const LocalBackendServer server = context_->backend_server();
   if (verdict == CrashVerdict::kSuspected && !BeginTrial(server)) {
     return Refuse(ResultCode::kRequestOnTrial, true, kTrialRetryAfter);
--- a/src/libquetzal/calls/call_context.h
+++ b/src/libquetzal/calls/call_context.h
@@ -16,6 +16,7 @@
 #include "calls/drain_gate.h"
 #include "calls/finished_requests.h"
 #include "calls/known_waits.h"
+#include "calls/live_calls.h"
 #include "calls/load_table.h"
 #include "calls/local_stream.h"
 #include "calls/refusal_rates.h"
@@ -59,6 +60,15 @@
   const CallDialect& dialect() const { return *dialect_; }
 
   SteadyTime Now() const { return deps.clock->Now(); }
+
+  /// The process ends at `limit`, whatever runs then.
+  void SetStopLimit(SteadyTime limit) { stop_limit_ = limit.time_since_epoch().count(); }
+  bool stopping() const { return stop_limit_ != kNoStop; }
+
+  /// True unless the process ends before work that takes `expected`.
+  bool EndsInTime(Duration expected) const {
+    return !stopping() || Now() + expected <= SteadyTime(Duration(stop_limit_));
+  }
   double RandomUnit();
 
   const CallDependencies deps;
@@ -76,6 +86,7 @@
   RequestTrials trials;  ///< At the local backend server.
   const std::shared_ptr<BackendAdmission> admission;
   DrainGate drain;
+  LiveCalls live_calls;
   LocalStreams local_streams;
 
   std::atomic<std::uint64_t> accepted{0};
@@ -93,11 +104,14 @@
   void ApplyLimits();
   AdmissionLimits CurrentLimits() const;
 
+  static constexpr Duration::rep kNoStop = -1;
+
   const CallDialect* const dialect_;
   StreamAcceptor admitting_side_;
   std::atomic<std::uint64_t> attempt_counter_{0};
   std::atomic<std::uint64_t> limits_changes_{0};
   std::atomic<bool> checks_server_{false};
+  std::atomic<Duration::rep> stop_limit_{kNoStop};  ///< Since the epoch of SteadyTime.
   mutable std::mutex matcher_mutex_;
   std::shared_ptr<const RouteMatcher> matcher_;
   mutable std::mutex server_mutex_;
--- a/src/libquetzal/calls/call_path.cc
+++ b/src/libquetzal/calls/call_path.cc
@@ -57,6 +57,12 @@
   context.drain.Drain([executor, done = std::move(done)] { executor->Post(done); });
 }
 
+void CallPath::PrepareStop(SteadyTime limit) { impl_->context->SetStopLimit(limit); }
+
+void CallPath::EndCalls() {
+  for (const auto& call : impl_->context->live_calls.All()) call->OnStopLimit();
+}
+
 CallCounts CallPath::counts() const {
   const CallContext& context = *impl_->context;
   CallCounts counts;
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -150,11 +150,19 @@
   /// SERVER_DOWN and SERVER_NONE no further requests are admitted.
   void SetBackendServer(const LocalBackendServer& server);
 
+  /// The process ends at `limit`. From now on a request counts as taken once its body is
+  /// whole, and none is passed on to a server that can hardly answer before the limit.
+  void PrepareStop(SteadyTime limit);
+
   /// Refuses new requests (not run), finishes those in flight, then calls `done` once on
   /// the executor. The transports may then still hold bytes of the last answers: wait for
   /// StreamTransport::open_streams() to reach zero before the process exits.
   void Drain(std::function<void()> done);
 
+  /// Answers the requests of callers that are still in flight: not run, or that the
+  /// outcome is unknown.
+  void EndCalls();
+
   CallCounts counts() const;
 
   /// Responses that this node received as coordinating node, by route and version, while
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -1,6 +1,7 @@
 #include "calls/caller_call.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <xxhash.h>
@@ -29,6 +30,9 @@
 /// A caller that gives up in the last tenth of the time had no answer in time.
 constexpr int kLatePartDivisor = 10;
 
+/// Servers usually take less than this part of a route's latency objective.
+constexpr int kUsualPartDivisor = 2;
+
 bool IsCapacityRefusal(ResultCode code) {
   return code == ResultCode::kServerFull || code == ResultCode::kShed;
 }
@@ -60,6 +64,7 @@
     return std::make_shared<IgnoringHandler>(caller);
   }
   auto call = std::make_shared<CallerCall>(context, path, headers, caller);
+  context->live_calls.Add(call);
   call->queue_.Run([call] { call->Start(); });
   return call;
 }
@@ -129,9 +134,21 @@
 
 void CallerCall::StartWhenJudged() {
   const CrashVerdict verdict = JudgeCrash();
-  awaits_verdict_ = verdict == CrashVerdict::kUndecided;
+  awaits_start_ = verdict == CrashVerdict::kUndecided || AwaitsBody();
   if (verdict == CrashVerdict::kCrashes) return RefuseCrashing();
-  if (!awaits_verdict_) StartNextAttempt();
+  if (awaits_start_) return;
+  if (context_->stopping() && context_->drain.draining()) {
+    return Refuse({ResultCode::kNodeStopping, true, kRetryAfter});
+  }
+  StartNextAttempt();
+}
+
+bool CallerCall::AwaitsBody() const {
+  return context_->stopping() && !body_.ended() && body_.replayable();
+}
+
+Duration CallerCall::UsualTime() const {
+  return std::chrono::milliseconds(route_->objective_ms()) / kUsualPartDivisor;
 }
 
 RequestIdentity CallerCall::Identity() const {
@@ -151,6 +168,22 @@
   return verdict;
 }
 
+const RolloutRouter::Targets& CallerCall::Targets(const RouteMatcher& matcher) {
+  const RolloutRouter::Targets& targets = rollout_.Targets(matcher, service_);
+  const auto& crashing = matcher.snapshot().crashing;
+  if (!suspected_ || !crashing) return targets;
+  const CrashingRequests::Entry* suspect = crashing->Find(*suspected_);
+  if (suspect == nullptr) return targets;
+  const BackendTarget* trial_server = TrialServer(*suspect, matcher.Targets(service_));
+  trial_targets_.clear();
+  std::copy_if(targets.begin(), targets.end(), std::back_inserter(trial_targets_),
+               [&](const BackendTarget* target) {
+                 return target == trial_server ||
+                        !suspect->CrashedVersion(HashOfVersion(target->version));
+               });
+  return trial_targets_;
+}
+
 void CallerCall::RefuseCrashing() {
   ++context_->blocked;
   const bool may_have_run =
@@ -245,6 +278,9 @@
   if (!body_.replayable()) return Refuse({ResultCode::kBodyTooLarge, true, {}});
   if (!body_.ended()) return;
   if (JudgeCrash() == CrashVerdict::kCrashes) return RefuseCrashing();
+  if (context_->stopping() && context_->drain.draining()) {
+    return Refuse({ResultCode::kNodeStopping, true, kRetryAfter});
+  }
   guard_->Start(weak_from_this(), Fingerprint(), deadline_);
   EmitKeyed("call.accepted", ResultCode::kOk);
   StartNextAttempt();
@@ -268,15 +304,18 @@
   }
   body_.Append(std::move(bytes), BodySink());
   if (guard_) ClaimWhenBodyIsComplete();
-  if (awaits_verdict_) StartWhenJudged();
+  if (awaits_start_) StartWhenJudged();
 }
 
 void CallerCall::OnBodyEnd() {
   caller_.reset();
   if (phase_ == Phase::kEnded) return;
+  if (BodySink() != nullptr && !context_->EndsInTime(UsualTime())) {
+    return WithdrawAttempt();
+  }
   body_.End(BodySink());
   if (guard_) ClaimWhenBodyIsComplete();
-  if (awaits_verdict_) StartWhenJudged();
+  if (awaits_start_) StartWhenJudged();
 }
 
 void CallerCall::OnCallerDisconnected() {
@@ -317,6 +356,30 @@
   });
 }
 
+void CallerCall::OnStopLimit() {
+  queue_.Run([call = shared_from_this()] {
+    if (call->phase_ == Phase::kEnded) return;
+    if (call->answer_.committed()) {
+      call->answer_.Abort();
+    } else {
+      const bool not_run = call->CannotHaveRun();
+      const Refusal refusal{
+          not_run ? ResultCode::kNodeStopping : ResultCode::kOutcomeUnknown, not_run,
+          kRetryAfter};
+      call->answer_.SendRefusal(refusal, true);
+      ++call->context_->refused;
+      call->EmitRefused(refusal);
+    }
+    call->Abandon();
+  });
+}
+
+void CallerCall::WithdrawAttempt() {
+  attempt_->Reset();
+  EndAttempt(AttemptEnd::kAbandoned, VersionOutcome::kNoResult);
+  Refuse({ResultCode::kOutcomeUnknown, false, kRetryAfter});
+}
+
 bool CallerCall::CannotHaveRun() const {
   if (phase_ == Phase::kBody) return true;
   const bool may_run = confirmed_ || guard_ || servers_reached_ > 0;
@@ -364,6 +427,7 @@
   body_.Close();
   if (guard_) guard_->Stop();
   guard_.reset();
+  context_->live_calls.Remove(this);
   context_->drain.Leave();
 }
 
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -40,6 +40,9 @@
   void OnReset(ResultCode code) override;
   void OnWritable() override;
 
+  /// The process ends: answers the caller unless that has begun.
+  void OnStopLimit();
+
  private:
   class AttemptHandler;
 
@@ -60,6 +63,11 @@
   void StartDeadline(Duration timeout);
   /// Starts the first attempt once it is known that the request may be sent.
   void StartWhenJudged();
+  /// True while a stopping node waits for the rest of the body before it takes the
+  /// request.
+  bool AwaitsBody() const;
+  /// The time that a server usually takes at most.
+  Duration UsualTime() const;
   RequestIdentity Identity() const;
   CrashVerdict JudgeCrash();
   void RefuseCrashing();
@@ -111,6 +119,8 @@
   void OnBodyEnd();
   void OnCallerDisconnected();
   void OnDeadline();
+  /// Ends an attempt whose server does not have the whole request yet.
+  void WithdrawAttempt();
   void Abandon();
 
   void Refuse(const Refusal& refusal);
@@ -140,7 +150,7 @@
   Phase phase_ = Phase::kBody;
   SteadyTime deadline_;
   std::unique_ptr<Timer> timer_;
-  bool awaits_verdict_ = false;  ///< On whether it crashes servers.
+  bool awaits_start_ = false;  ///< More of the body decides whether it may be sent.
   std::optional<RequestFingerprint>
       suspected_;  ///< Of a request that runs on trial only.
   RolloutRouter::Targets trial_targets_;
--- a/src/libquetzal/calls/caller_call_attempts.cc
+++ b/src/libquetzal/calls/caller_call_attempts.cc
@@ -1,6 +1,5 @@
 // The part of CallerCall that tries backend servers one after another.
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "calls/caller_call.h"
@@ -79,9 +78,13 @@
 void CallerCall::StartNextAttempt() {
   if (deadline_passed_ || caller_disconnected_) return Abandon();
   if (attempts_ > 0 && JudgeCrash() == CrashVerdict::kCrashes) return RefuseCrashing();
+  const bool has_refusal = last_refusal_.code != ResultCode::kOk;
+  if (!context_->EndsInTime(UsualTime())) {
+    return Refuse(has_refusal ? last_refusal_
+                              : Refusal{ResultCode::kNodeStopping, true, kRetryAfter});
+  }
   target_ = NextTarget();
   if (!target_) {
-    const bool has_refusal = last_refusal_.code != ResultCode::kOk;
     return Refuse(has_refusal ? last_refusal_
                               : Refusal{ResultCode::kNoBackendServer, true, kRetryAfter});
   }
@@ -115,22 +118,6 @@
   return latest;
 }
 
-const RolloutRouter::Targets& CallerCall::Targets(const RouteMatcher& matcher) {
-  const RolloutRouter::Targets& targets = rollout_.Targets(matcher, service_);
-  const auto& crashing = matcher.snapshot().crashing;
-  if (!suspected_ || !crashing) return targets;
-  const CrashingRequests::Entry* suspect = crashing->Find(*suspected_);
-  if (suspect == nullptr) return targets;
-  const BackendTarget* trial_server = TrialServer(*suspect, matcher.Targets(service_));
-  trial_targets_.clear();
-  std::copy_if(targets.begin(), targets.end(), std::back_inserter(trial_targets_),
-               [&](const BackendTarget* target) {
-                 return target == trial_server ||
-                        !suspect->CrashedVersion(HashOfVersion(target->version));
-               });
-  return trial_targets_;
-}
-
 bool CallerCall::HasUntriedInstance() {
   const auto matcher = RefreshRoute();
   if (!matcher) return false;
@@ -341,6 +328,12 @@
 
 /// From here on the attempt may run.
 void CallerCall::Confirm() {
+  if (!context_->EndsInTime(UsualTime())) {
+    attempt_->Reset();
+    EndAttempt(AttemptEnd::kAbandoned, VersionOutcome::kNotRun);
+    RememberRefusal({ResultCode::kNodeStopping, true, kRetryAfter});
+    return Refuse(last_refusal_);
+  }
   confirmed_ = true;
   body_.SendKept(attempt_.get());
   if (body_.ended() && body_.empty()) attempt_->SendData({}, true);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -44,10 +44,12 @@
 /// Backend servers wait for one second for an acknowledgement.
 constexpr std::chrono::milliseconds kHoldLimit{800};
 
-/// Part of --stop-limit-ms that is reserved for sending the last answers and ending the
-/// process.
+/// Part of --stop-limit-ms that is reserved for ending the process.
 constexpr std::chrono::milliseconds kStopMargin{300};
 
+/// Part of the drain limit that is reserved for sending the last answers.
+constexpr std::chrono::milliseconds kAnswerMargin{100};
+
 Duration DrainLimit(const Settings& settings) {
   const Duration stop = settings.Millis("stop-limit-ms");
   if (stop == Duration::zero()) return settings.Millis("drain-limit-ms");
@@ -380,10 +382,12 @@
 std::uint64_t Node::Stop() {
   events_->Emit({"process.stopping", {}});
   const SteadyTime limit = clock_->Now() + drain_limit_;
+  const SteadyTime answer_limit = limit - kAnswerMargin;
   auto drained = std::make_shared<std::promise<void>>();
   auto left = std::make_shared<std::promise<void>>();
   auto drained_future = drained->get_future();
   auto left_future = left->get_future();
+  calls_->PrepareStop(answer_limit);
   if (caller_grace_ > Duration::zero()) {
     // Callers are asked to open their next connections elsewhere; meanwhile they and the
     // local backend server are served as before.
@@ -400,7 +404,9 @@
   }
   distribution_->Leave([left] { left->set_value(); });
   calls_->Drain([drained] { drained->set_value(); });
-  drained_future.wait_until(limit);
+  drained_future.wait_until(answer_limit);
+  const std::uint64_t cut = calls_->counts().in_flight;
+  calls_->EndCalls();
   if (caller_grace_ == Duration::zero()) {
     left_future.wait_until(limit);
   } else {
@@ -416,7 +422,6 @@
          clock_->Now() < flush_limit) {
     std::this_thread::sleep_for(kStopPollPeriod);
   }
-  const std::uint64_t cut = calls_->counts().in_flight;
   admin_->Stop();
   if (heartbeat_server_) heartbeat_server_->Stop();
   if (readiness_server_) readiness_server_->Stop();
--- a/tests/calls/sim_cluster.cc
+++ b/tests/calls/sim_cluster.cc
@@ -299,13 +299,22 @@
 std::shared_ptr<AnswerRecorder> SimCluster::SendPieces(
     std::size_t node, const std::string& path, const std::string& key,
     const std::vector<std::string>& pieces) {
+  auto received = SendUnfinished(node, path, {}, key);
+  for (const std::string& piece : pieces) received->stream->SendData(piece, false);
+  received->stream->SendData({}, true);
+  return received;
+}
+
+std::shared_ptr<AnswerRecorder> SimCluster::SendUnfinished(std::size_t node,
+                                                           const std::string& path,
+                                                           const std::string& start,
+                                                           const std::string& key) {
   auto received = std::make_shared<AnswerRecorder>();
   StreamHeaders headers = {
       {":method", "POST"}, {"host", "desk.example"}, {"idempotency-key", key}};
   received->stream = caller_transport_.Open(nodes[node].callers, path, std::move(headers),
                                             false, received);
-  for (const std::string& piece : pieces) received->stream->SendData(piece, false);
-  received->stream->SendData({}, true);
+  if (!start.empty()) received->stream->SendData(start, false);
   return received;
 }
 
--- a/tests/calls/sim_cluster.h
+++ b/tests/calls/sim_cluster.h
@@ -182,6 +182,11 @@
   std::shared_ptr<AnswerRecorder> SendPieces(std::size_t node, const std::string& path,
                                              const std::string& key,
                                              const std::vector<std::string>& pieces);
+  /// Sends a POST with the start of its body; its end is left to the test.
+  std::shared_ptr<AnswerRecorder> SendUnfinished(std::size_t node,
+                                                 const std::string& path,
+                                                 const std::string& start,
+                                                 const std::string& key = "");
   std::shared_ptr<AnswerRecorder> GetReport(std::size_t node,
                                             const std::string& body = "") {
     return Send(node, "GET", "/reports/7", "", body);
