Agreement: no refusal of a full disk ends the writer of the log

Cause: a refused write was tried again, but a refused ftruncate, fdatasync or sync of the folder ended the writing thread. The instance ran on, took no part in elections and acknowledged nothing; after two of them no majority was left. A sync mark that could not be cut off threw after its record was durable, so that a retry would have written the record twice.

Change: every error is tried again. The system calls go through DiskCalls, so that tests refuse them.

--- a/src/libquetzal/agreement/log_storage.h
+++ b/src/libquetzal/agreement/log_storage.h
@@ -50,9 +50,8 @@
   virtual StoredLog Load() = 0;
 
   /// Makes all `writes` durable with a single sync before it returns. Throws
-  /// Error(kDiskFull) when nothing was written and the call may be repeated, or
-  /// Error(kDiskFailed) when it is unknown which writes are durable; no further write is
-  /// allowed then.
+  /// Error(kDiskFull) or Error(kDiskFailed): some of the writes may be durable, and the
+  /// next call must repeat all of them, with or without further ones behind them.
   virtual void Write(const std::vector<LogWrite>& writes) = 0;
 };
 
--- a/src/libquetzal/agreement/log_writer.cc
+++ b/src/libquetzal/agreement/log_writer.cc
@@ -70,11 +70,7 @@
   while (WaitForWork(&batch)) {
     const ResultCode code = WriteBatch(batch);
     outcome_(code, batch.back().number);
-    if (code == ResultCode::kOk) {
-      batch.clear();
-    } else if (code != ResultCode::kDiskFull) {
-      return;
-    }
+    if (code == ResultCode::kOk) batch.clear();
   }
 }
 
--- a/src/libquetzal/agreement/log_writer.h
+++ b/src/libquetzal/agreement/log_writer.h
@@ -19,8 +19,8 @@
 class LogWriter {
  public:
   /// Called on the writer's thread with kOk when all writes up to `number` are durable,
-  /// otherwise with the error. After kDiskFull the same writes are retried every
-  /// `retry_period`; after any other error the thread stops writing.
+  /// otherwise with the error. After an error the same writes are retried every
+  /// `retry_period`.
   using Outcome = std::function<void(ResultCode code, std::uint64_t number)>;
 
   LogWriter(LogStorage* storage, Duration retry_period, Outcome outcome);
--- a/src/plugins/log_file/data_folder.cc
+++ b/src/plugins/log_file/data_folder.cc
@@ -41,8 +41,9 @@
   return *this;
 }
 
-DataFolder::DataFolder(std::string path)
+DataFolder::DataFolder(std::string path, DiskCalls* calls)
     : path_(std::move(path)),
+      calls_(calls),
       folder_(open(path_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)) {
   if (folder_.fd() < 0) {
     throw Error(ResultCode::kFolderMissing, "cannot open the folder " + path_);
@@ -77,22 +78,21 @@
 }
 
 void DataFolder::Replace(const std::string& name, std::string_view bytes) {
-  const std::string temporary = name + kTemporarySuffix;
+  const std::string temporary = PathOf(name + kTemporarySuffix);
   try {
-    FileHandle file(open(PathOf(temporary).c_str(),
-                         O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, kFileMode));
-    if (file.fd() < 0) ThrowDiskError("cannot create " + PathOf(temporary), errno);
-    WriteAt(file, 0, bytes, PathOf(temporary));
-    if (fsync(file.fd()) != 0) ThrowDiskError("cannot sync " + PathOf(temporary), errno);
+    FileHandle file(calls_->Create(temporary.c_str()));
+    if (file.fd() < 0) ThrowDiskError("cannot create " + temporary, errno);
+    WriteAt(file, 0, bytes, temporary);
+    if (calls_->Sync(file.fd()) != 0) ThrowDiskError("cannot sync " + temporary, errno);
+    if (calls_->Rename(temporary.c_str(), PathOf(name).c_str()) != 0) {
+      ThrowDiskError("cannot rename to " + PathOf(name), errno);
+    }
   } catch (const Error&) {
-    unlink(PathOf(temporary).c_str());
+    unlink(temporary.c_str());
     throw;
   }
-  if (rename(PathOf(temporary).c_str(), PathOf(name).c_str()) != 0) {
-    ThrowDiskError("cannot rename to " + PathOf(name), errno);
-  }
-  if (fsync(folder_.fd()) != 0) {
-    throw Error(ResultCode::kDiskFailed, "cannot sync the folder " + path_);
+  if (calls_->Sync(folder_.fd()) != 0) {
+    ThrowDiskError("cannot sync the folder " + path_, errno);
   }
 }
 
@@ -104,11 +104,11 @@
   return file;
 }
 
-void WriteAt(const FileHandle& file, std::uint64_t offset, std::string_view bytes,
-             const std::string& name) {
+void DataFolder::WriteAt(const FileHandle& file, std::uint64_t offset,
+                         std::string_view bytes, const std::string& name) const {
   while (!bytes.empty()) {
     const ssize_t n =
-        pwrite(file.fd(), bytes.data(), bytes.size(), static_cast<off_t>(offset));
+        calls_->Write(file.fd(), bytes.data(), bytes.size(), static_cast<off_t>(offset));
     if (n < 0 && errno == EINTR) continue;
     if (n < 0) ThrowDiskError("cannot write " + name, errno);
     bytes.remove_prefix(static_cast<std::size_t>(n));
@@ -116,17 +116,14 @@
   }
 }
 
-void SyncData(const FileHandle& file, const std::string& name) {
-  if (fdatasync(file.fd()) == 0) return;
-  // Never retried: the kernel may have dropped the dirty pages, so a later successful
-  // sync would not mean that the data is on disk.
-  throw Error(ResultCode::kDiskFailed,
-              "cannot sync " + name + ": " + std::generic_category().message(errno));
+void DataFolder::SyncData(const FileHandle& file, const std::string& name) const {
+  if (calls_->SyncData(file.fd()) != 0) ThrowDiskError("cannot sync " + name, errno);
 }
 
-void TruncateFile(const FileHandle& file, std::uint64_t size, const std::string& name) {
-  if (ftruncate(file.fd(), static_cast<off_t>(size)) != 0) {
-    throw Error(ResultCode::kDiskFailed, "cannot truncate " + name);
+void DataFolder::Truncate(const FileHandle& file, std::uint64_t size,
+                          const std::string& name) const {
+  if (calls_->Truncate(file.fd(), static_cast<off_t>(size)) != 0) {
+    ThrowDiskError("cannot truncate " + name, errno);
   }
 }
 
--- a/src/plugins/log_file/data_folder.h
+++ b/src/plugins/log_file/data_folder.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "plugins/log_file/disk_calls.h"
+
 namespace quetzal {
 
 /// Owns a file descriptor and closes it on destruction.
@@ -30,14 +32,14 @@
  public:
   /// Throws Error(kFolderMissing) when the folder cannot be used or another process has
   /// locked it.
-  explicit DataFolder(std::string path);
+  explicit DataFolder(std::string path, DiskCalls* calls = DiskCalls::System());
 
   std::vector<std::string> FileNames() const;
   bool Exists(const std::string& name) const;
   std::string Read(const std::string& name) const;
 
   /// Replaces a file atomically: writes and syncs a temporary file, renames it and syncs
-  /// the folder.
+  /// the folder. After a failure the file has its old or its new content.
   void Replace(const std::string& name, std::string_view bytes);
   void Remove(const std::string& name);
 
@@ -45,18 +47,21 @@
   FileHandle Open(const std::string& name) const;
   std::string PathOf(const std::string& name) const { return path_ + "/" + name; }
 
+  /// Writes all of `bytes` at `offset` of a file; `name` appears in error texts, here and
+  /// below.
+  void WriteAt(const FileHandle& file, std::uint64_t offset, std::string_view bytes,
+               const std::string& name) const;
+  void SyncData(const FileHandle& file, const std::string& name) const;
+  void Truncate(const FileHandle& file, std::uint64_t size,
+                const std::string& name) const;
+
  private:
   std::string path_;
+  DiskCalls* calls_;
   FileHandle folder_;
   FileHandle lock_;
 };
 
-/// Writes all of `bytes` at `offset`; `name` appears in error texts, here and below.
-void WriteAt(const FileHandle& file, std::uint64_t offset, std::string_view bytes,
-             const std::string& name);
-void SyncData(const FileHandle& file, const std::string& name);
-void TruncateFile(const FileHandle& file, std::uint64_t size, const std::string& name);
-
 }  // namespace quetzal
 
 #endif  // QUETZAL_PLUGINS_LOG_FILE_DATA_FOLDER_H_
--- a/src/plugins/log_file/file_log.cc
+++ b/src/plugins/log_file/file_log.cc
@@ -61,7 +61,7 @@
 
 }  // namespace
 
-FileLog::FileLog(const std::string& folder) : folder_(folder) {}
+FileLog::FileLog(const std::string& folder, DiskCalls* calls) : folder_(folder, calls) {}
 
 StoredLog FileLog::Load() {
   StoredLog stored;
@@ -116,12 +116,15 @@
     }
     ApplyRecord(record, frame.offset, stored);
   }
-  journal_ = folder_.Open(journal_name_);
-  offset_ = scan.valid_bytes;
-  next_number_ = scan.frames.size();
-  if (scan.valid_bytes < bytes.size()) {
-    TruncateFile(journal_, offset_, path);
-    SyncData(journal_, path);
+  OpenJournal(generation_, scan.valid_bytes, scan.frames.size());
+  if (scan.valid_bytes == bytes.size()) return;
+  unclear_tail_ = true;
+  if (!CutTail()) return;
+  try {
+    folder_.SyncData(journal_, path);
+    unclear_tail_ = false;
+  } catch (const Error&) {
+    // The next write starts a new journal.
   }
 }
 
@@ -169,32 +172,64 @@
   const std::string frame =
       EncodeFrame(FrameKind::kRecord, 0, head.SerializeAsString(), generation);
   folder_.Replace(JournalName(generation), frame);
+  OpenJournal(generation, frame.size(), 1);
+}
+
+void FileLog::OpenJournal(std::uint64_t generation, std::uint64_t bytes,
+                          std::uint64_t records) {
+  const std::string name = JournalName(generation);
+  journal_ = folder_.Open(name);
+  journal_name_ = name;
   generation_ = generation;
-  journal_name_ = JournalName(generation);
-  journal_ = folder_.Open(journal_name_);
-  offset_ = frame.size();
-  next_number_ = 1;
+  offset_ = bytes;
+  next_number_ = records;
+  unclear_tail_ = false;
+}
+
+void FileLog::RewriteJournal() {
+  const std::string path = folder_.PathOf(journal_name_);
+  // The page cache may hold bytes behind offset_ that are not on the disk and that no
+  // later sync of this file writes.
+  const std::string bytes = folder_.Read(journal_name_).substr(0, offset_);
+  const JournalScan scan = ScanJournal(bytes, generation_, path);
+  if (scan.valid_bytes != offset_ || scan.frames.size() != next_number_) {
+    throw Error(ResultCode::kDiskFailed, "cannot read " + path);
+  }
+  const std::uint64_t generation = generation_ + 1;
+  std::string copy;
+  for (const JournalFrame& frame : scan.frames) {
+    copy += EncodeFrame(FrameKind::kRecord, frame.number, frame.payload, generation);
+    copy += EncodeFrame(FrameKind::kSyncMark, frame.number, "", generation);
+  }
+  folder_.Replace(JournalName(generation), copy);
+  OpenJournal(generation, copy.size(), scan.frames.size());
+  RemoveStaleFiles();
+}
+
+bool FileLog::CutTail() {
+  try {
+    folder_.Truncate(journal_, offset_, folder_.PathOf(journal_name_));
+    return true;
+  } catch (const Error&) {
+    return false;
+  }
 }
 
 void FileLog::Write(const std::vector<LogWrite>& writes) {
-  if (failed_) throw Error(ResultCode::kDiskFailed, "an earlier disk write failed");
   // A write with a snapshot replaces the whole log, so earlier writes are skipped.
   const auto last =
       std::find_if(writes.rbegin(), writes.rend(),
                    [](const LogWrite& write) { return write.snapshot != nullptr; });
   auto it = writes.begin();
-  try {
-    if (last != writes.rend()) {
-      Rotate(*last);
-      it = last.base();
-    }
-    JournalRecord record;
-    for (; it != writes.end(); ++it) AddWrite(*it, &record);
-    if (record.writes_size() > 0) AppendRecord(record);
-  } catch (const Error& error) {
-    failed_ = error.code() != ResultCode::kDiskFull;
-    throw;
+  if (last != writes.rend()) {
+    Rotate(*last);
+    it = last.base();
   }
+  JournalRecord record;
+  for (; it != writes.end(); ++it) AddWrite(*it, &record);
+  if (record.writes_size() == 0) return;
+  if (unclear_tail_) RewriteJournal();
+  AppendRecord(record);
 }
 
 void FileLog::Rotate(const LogWrite& write) {
@@ -213,24 +248,26 @@
   const std::string path = folder_.PathOf(journal_name_);
   const std::string frame = EncodeFrame(FrameKind::kRecord, next_number_,
                                         record.SerializeAsString(), generation_);
+  unclear_tail_ = true;
   try {
-    WriteAt(journal_, offset_, frame, path);
+    folder_.WriteAt(journal_, offset_, frame, path);
   } catch (const Error&) {
-    TruncateFile(journal_, offset_, path);
+    unclear_tail_ = !CutTail();
     throw;
   }
-  SyncData(journal_, path);
+  folder_.SyncData(journal_, path);
   offset_ += frame.size();
   const std::string mark =
       EncodeFrame(FrameKind::kSyncMark, next_number_, "", generation_);
   ++next_number_;
   try {
-    WriteAt(journal_, offset_, mark, path);
+    folder_.WriteAt(journal_, offset_, mark, path);
     offset_ += mark.size();
+    unclear_tail_ = false;
   } catch (const Error&) {
     // The record is durable. Without its sync mark, damage to it looks like an incomplete
     // write.
-    TruncateFile(journal_, offset_, path);
+    unclear_tail_ = !CutTail();
   }
 }
 
--- a/src/plugins/log_file/file_log.h
+++ b/src/plugins/log_file/file_log.h
@@ -11,12 +11,13 @@
 namespace quetzal {
 
 /// Log storage in one folder with the files `identity`, `journal-N` (records with
-/// checksums) and `snapshot-INDEX-TERM`. A snapshot starts a new journal; the old files
+/// checksums) and `snapshot-INDEX-TERM`. A snapshot starts a new journal, and so does the
+/// first write after a failure that left the end of the journal unclear; the old files
 /// are removed once the new ones are durable.
 class FileLog final : public LogStorage {
  public:
   /// Throws Error(kFolderMissing).
-  explicit FileLog(const std::string& folder);
+  explicit FileLog(const std::string& folder, DiskCalls* calls = DiskCalls::System());
 
   StoredLog Load() override;
   void Write(const std::vector<LogWrite>& writes) override;
@@ -28,6 +29,11 @@
   void ApplyRecord(const JournalRecord& record, std::uint64_t offset, StoredLog* stored);
   void CreateJournal(std::uint64_t generation, const JournalRecord& head);
   void Rotate(const LogWrite& write);
+  /// Writes the records that are known to be durable to a new journal.
+  void RewriteJournal();
+  void OpenJournal(std::uint64_t generation, std::uint64_t bytes, std::uint64_t records);
+  /// Cuts off what follows the last durable record; false if the disk refuses that.
+  bool CutTail();
   void AppendRecord(const JournalRecord& record);
   void RemoveStaleFiles();
 
@@ -36,9 +42,9 @@
   std::string journal_name_;
   std::string snapshot_name_;
   FileHandle journal_;
-  std::uint64_t offset_ = 0;
+  std::uint64_t offset_ = 0;  ///< Up to here the journal is durable.
   std::uint64_t next_number_ = 0;
-  bool failed_ = false;
+  bool unclear_tail_ = false;  ///< What follows offset_ may become durable or not.
 };
 
 }  // namespace quetzal
--- a/tests/agreement/service_test.cc
+++ b/tests/agreement/service_test.cc
@@ -10,6 +10,7 @@
 
 #include <gtest/gtest.h>
 
+#include "agreement/faulty_disk.h"
 #include "agreement/temporary_folder.h"
 #include "plugins/log_file/file_log.h"
 #include "plugins/runtime_asio/worker_pool.h"
@@ -90,17 +91,15 @@
 /// A file log with a simulated full disk.
 class FillableLog final : public LogStorage {
  public:
-  explicit FillableLog(const std::string& folder) : log_(folder) {}
+  explicit FillableLog(const std::string& folder) : log_(folder, &disk_) {}
   StoredLog Load() override { return log_.Load(); }
-  void Write(const std::vector<LogWrite>& writes) override {
-    if (full_) throw Error(ResultCode::kDiskFull, "no room");
-    log_.Write(writes);
-  }
-  void set_full(bool full) { full_ = full; }
+  void Write(const std::vector<LogWrite>& writes) override { log_.Write(writes); }
+  void set_full(bool full) { disk_.set_full(full); }
+  FaultyDisk* disk() { return &disk_; }
 
  private:
+  FaultyDisk disk_;
   FileLog log_;
-  std::atomic<bool> full_{false};
 };
 
 struct Process {
@@ -228,6 +227,40 @@
   EXPECT_EQ(Propose(0, "d").result, "abd");
 }
 
+// Guards against instances that run on and never write again once their disk was full, so
+// that no majority is left after the second of them.
+TEST_F(AgreementServiceTest, DisksThatWereFullInTurnLeaveAMajority) {
+  for (int n = 0; n < 3; ++n) Launch(n, 3);
+  ASSERT_GE(AwaitLeader(), 0);
+  const auto propose = [this](const std::string& entry) {
+    const SteadyTime limit = std::chrono::steady_clock::now() + seconds(20);
+    while (std::chrono::steady_clock::now() < limit) {
+      const int leader = AwaitLeader();
+      if (leader < 0) return false;
+      if (Propose(leader, entry).code == ResultCode::kOk) return true;
+    }
+    return false;
+  };
+  ASSERT_TRUE(propose("a"));
+  for (int round = 0; round < 2; ++round) {
+    for (int n = 0; n < 3; ++n) {
+      processes_[n]->log.disk()->set_writes_part(round > 0);
+      processes_[n]->log.set_full(true);
+      EXPECT_TRUE(propose("b")) << "while the disk of " << n << " is full";
+      processes_[n]->log.set_full(false);
+      EXPECT_TRUE(propose("c")) << "after the disk of " << n << " was full";
+    }
+  }
+  const SteadyTime limit = std::chrono::steady_clock::now() + seconds(20);
+  for (int n = 0; n < 3; ++n) {
+    while (Read(n) != ResultCode::kOk && std::chrono::steady_clock::now() < limit) {
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    EXPECT_EQ(Read(n), ResultCode::kOk);
+    EXPECT_EQ(ServiceAt(n).disk_state(), ResultCode::kOk) << n;
+  }
+}
+
 TEST_F(AgreementServiceTest, ThreeInstancesAgree) {
   for (int n = 0; n < 3; ++n) Launch(n, 3);
   const int leader = AwaitLeader();
