Agreement: a record that was read without its sync mark is made durable

What could be seen: an entry that counts, and is acknowledged, after a restart, and is gone after a loss of power.

Cause: what a starting instance reads counts as durable. The process may have ended between a write and its sync, or after a sync that failed; the bytes are then in the page cache only, and after a failed sync no later one writes them.

Measured: ARecordWithoutItsSyncIsMadeDurableAtTheStart fails before (no sync at the start) and passes; the tests of the log and of the service pass.

--- a/src/plugins/log_file/file_log.cc
+++ b/src/plugins/log_file/file_log.cc
@@ -117,6 +117,9 @@
     ApplyRecord(record, frame.offset, stored);
   }
   OpenJournal(generation_, scan.valid_bytes, scan.frames.size());
+  // The process may have ended before the last record was synced. It counts as durable
+  // once it was read. The head record came with the file.
+  if (!scan.synced && scan.frames.size() > 1) return RewriteJournal();
   if (scan.valid_bytes == bytes.size()) return;
   unclear_tail_ = true;
   if (!CutTail()) return;
--- a/src/plugins/log_file/journal_frame.cc
+++ b/src/plugins/log_file/journal_frame.cc
@@ -91,6 +91,7 @@
       scan.frames.push_back(*frame);
       ++next;
     }
+    scan.synced = frame->kind == FrameKind::kSyncMark;
     scan.valid_bytes = frame->offset + kFrameHeaderBytes + frame->payload.size();
   }
   return scan;
--- a/src/plugins/log_file/journal_frame.h
+++ b/src/plugins/log_file/journal_frame.h
@@ -33,6 +33,7 @@
 struct JournalScan {
   std::vector<JournalFrame> frames;
   std::uint64_t valid_bytes = 0;  ///< Below the file size: the last write is incomplete.
+  bool synced = false;            ///< The last record has its sync mark.
 };
 
 /// Reads a whole journal. A record is written only after the previous one was synced, so
--- a/tests/agreement/faulty_disk.h
+++ b/tests/agreement/faulty_disk.h
@@ -23,7 +23,11 @@
     errno = ENOSPC;
     return -1;
   }
-  int Sync(int fd) override { return Refuses() ? -1 : DiskCalls::Sync(fd); }
+  int Sync(int fd) override {
+    if (Refuses()) return -1;
+    ++file_syncs_;
+    return DiskCalls::Sync(fd);
+  }
   int SyncData(int fd) override { return Refuses() ? -1 : DiskCalls::SyncData(fd); }
   int Truncate(int fd, off_t size) override {
     return Refuses() ? -1 : DiskCalls::Truncate(fd, size);
@@ -42,6 +46,7 @@
     last_ = after + count;
   }
   int calls() const { return calls_; }
+  int file_syncs() const { return file_syncs_; }  ///< Of new files and folders.
 
  private:
   bool Refuses() {
@@ -56,6 +61,7 @@
   std::atomic<int> calls_{0};
   std::atomic<int> first_{0};
   std::atomic<int> last_{0};
+  std::atomic<int> file_syncs_{0};
 };
 
 }  // namespace quetzal::testing
--- a/tests/agreement/full_disk_test.cc
+++ b/tests/agreement/full_disk_test.cc
@@ -213,6 +213,26 @@
   EXPECT_EQ(DescribeCopy(folder.path()), States()[2]);
 }
 
+// Guards against a record that is acknowledged after a restart, and lost with the power:
+// the process ended between the write and its sync, or the sync had failed.
+TEST_P(FullDiskTest, ARecordWithoutItsSyncIsMadeDurableAtTheStart) {
+  TemporaryFolder folder;
+  {
+    FileLog log(folder.path(), &disk_);
+    log.Load();
+    log.Write(Batches()[0]);
+    disk_.RefuseLater(1, 1);
+    EXPECT_THROW(log.Write(Batches()[1]), Error) << "the sync";
+  }
+  const int before = disk_.file_syncs();
+  EXPECT_EQ(Describe(FileLog(folder.path(), &disk_).Load()), States()[2]);
+  EXPECT_GE(disk_.file_syncs(), before + 2) << "a new journal and its folder";
+  EXPECT_EQ(DescribeCopy(folder.path()), States()[2]);
+  const int after = disk_.file_syncs();
+  EXPECT_EQ(Describe(FileLog(folder.path(), &disk_).Load()), States()[2]);
+  EXPECT_EQ(disk_.file_syncs(), after) << "once";
+}
+
 INSTANTIATE_TEST_SUITE_P(WritesPart, FullDiskTest, ::testing::Bool());
 
 }  // namespace
