Calls: a trial at one service acquits a request of no crash of another

A route may split its requests over several services. A suspected request was then on trial at one server of each, and runs at the servers of the sound one would have acquitted it of the crashes of the other, as only the version of the servers was compared (found by reading; versions are often equal or not stated).

Change: crash reports carry a hash of service and version, and a trial needs and acquits what crashed with the same.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -22,7 +22,7 @@
 /// A node that is connected applies a change of a rollout within this time.
 constexpr Duration kOutdatedRetryAfter = std::chrono::milliseconds(500);
 
-/// All nodes know of a crash, or of an acquittal, within this time.
+/// Most nodes know of a crash, or of an acquittal, within this time.
 constexpr Duration kTrialRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -244,7 +244,7 @@
   }
   const bool complete = body_ended_ && body_.empty();
   server_id_ = server.id;
-  server_version_ = server.version;
+  software_ = HashOfSoftware(server.service, server.version);
   backend_ = context_->deps.backends->Open(
       server.address, head_.path, BackendHeaders(), complete,
       std::make_shared<BackendHandler>(shared_from_this()));
@@ -453,7 +453,7 @@
   const RequestIdentity identity = Identity();
   context_->deps.on_request_cut({server_id_, identity.Fingerprint(), sent_at_,
                                  context_->finished_requests.Take(identity),
-                                 trial_.has_value(), server_version_});
+                                 trial_.has_value(), software_});
 }
 
 RequestIdentity BackendCall::Identity() const {
@@ -472,11 +472,11 @@
   const auto matcher = context_->matcher();
   if (!matcher || !matcher->snapshot().crashing) return true;
   const auto* suspect = matcher->snapshot().crashing->Find(Identity().Fingerprint());
-  const std::uint32_t version = HashOfVersion(server.version);
-  if (suspect == nullptr || !suspect->CrashedVersion(version)) return true;
+  const std::uint32_t software = HashOfSoftware(server.service, server.version);
+  if (suspect == nullptr || !suspect->Crashed(software)) return true;
   const BackendTarget* target = TrialServer(*suspect, matcher->Targets(head_.service));
   if (target == nullptr || target->instance != context_->options.instance) return false;
-  trial_ = context_->trials.Begin(*suspect, version);
+  trial_ = context_->trials.Begin(*suspect, software);
   return trial_.has_value();
 }
 
--- a/src/libquetzal/calls/backend_call.h
+++ b/src/libquetzal/calls/backend_call.h
@@ -98,8 +98,8 @@
   bool reached_server_ = false;
   std::uint64_t admission_id_ = 0;
   SteadyTime sent_at_;
-  std::string server_id_;  ///< Of the server process that the request was sent to.
-  std::string server_version_;
+  std::string server_id_;       ///< Of the server process that the request was sent to.
+  std::uint32_t software_ = 0;  ///< HashOfSoftware of that process.
   std::optional<RequestTrials::Run> trial_;
 
   std::vector<std::string> body_;  ///< Received before a slot was free.
--- a/src/libquetzal/calls/call_path.h
+++ b/src/libquetzal/calls/call_path.h
@@ -62,7 +62,7 @@
   SteadyTime sent_at;
   bool finished_before = false;  ///< It has run to its end, and was not cut since.
   bool on_trial = false;         ///< It was known to be suspected.
-  std::string server_version;    ///< Of the server's software; empty: not stated.
+  std::uint32_t software = 0;    ///< HashOfSoftware of the server.
 };
 
 /// Dependencies of a CallPath; all of them must outlive it.
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -178,8 +178,8 @@
   trial_targets_.clear();
   std::copy_if(targets.begin(), targets.end(), std::back_inserter(trial_targets_),
                [&](const BackendTarget* target) {
-                 return target == trial_server ||
-                        !suspect->CrashedVersion(HashOfVersion(target->version));
+                 return target == trial_server || !suspect->Crashed(HashOfSoftware(
+                                                      target->service, target->version));
                });
   return trial_targets_;
 }
--- a/src/libquetzal/calls/caller_call.h
+++ b/src/libquetzal/calls/caller_call.h
@@ -151,8 +151,7 @@
   SteadyTime deadline_;
   std::unique_ptr<Timer> timer_;
   bool awaits_start_ = false;  ///< More of the body decides whether it may be sent.
-  std::optional<RequestFingerprint>
-      suspected_;  ///< Of a request that runs on trial only.
+  std::optional<RequestFingerprint> suspected_;  ///< Null unless it runs on trial.
   RolloutRouter::Targets trial_targets_;
   bool deadline_passed_ = false;
   bool caller_disconnected_ = false;
--- a/src/libquetzal/calls/crash_report.cc
+++ b/src/libquetzal/calls/crash_report.cc
@@ -7,8 +7,9 @@
 
 namespace quetzal {
 
-std::uint32_t HashOfVersion(const std::string& version) {
-  return version.empty() ? 0 : XXH32(version.data(), version.size(), 0);
+std::uint32_t HashOfSoftware(const std::string& service, const std::string& version) {
+  const std::string text = service + '\n' + version;
+  return XXH32(text.data(), text.size(), 0);
 }
 
 void KeepRequests(const std::function<bool(const RequestFingerprint& request)>& keep,
@@ -32,7 +33,7 @@
     message.add_digests(request.digest);
   }
   message.set_on_trial(static_cast<std::uint32_t>(crash.on_trial));
-  message.set_server_version(crash.server_version);
+  message.set_software(crash.software);
   return message;
 }
 
@@ -41,7 +42,7 @@
   crash.id = message.id();
   crash.instance = instance;
   crash.on_trial = message.on_trial();
-  crash.server_version = message.server_version();
+  crash.software = message.software();
   const int count = std::min(message.heads_size(), message.digests_size());
   for (int n = 0; n < count; ++n) {
     crash.requests.push_back({message.heads(n), message.digests(n)});
--- a/src/libquetzal/calls/crash_report.h
+++ b/src/libquetzal/calls/crash_report.h
@@ -17,13 +17,13 @@
   std::uint64_t id = 0;  ///< Unique in the fleet.
   /// Requests that ran when the server ended. At least one of them may have caused it.
   std::vector<RequestFingerprint> requests;
-  std::size_t on_trial = 0;          ///< So many of the first requests ran on trial.
-  std::uint32_t server_version = 0;  ///< HashOfVersion.
-  std::string instance;              ///< That told of it.
+  std::size_t on_trial = 0;    ///< So many of the first requests ran on trial.
+  std::uint32_t software = 0;  ///< HashOfSoftware.
+  std::string instance;        ///< That told of it.
 };
 
-/// Zero for an empty version.
-std::uint32_t HashOfVersion(const std::string& version);
+/// Tells which backend servers run the same software.
+std::uint32_t HashOfSoftware(const std::string& service, const std::string& version);
 
 /// Keeps those requests of `crash` for which `keep` is true.
 void KeepRequests(const std::function<bool(const RequestFingerprint& request)>& keep,
--- a/src/libquetzal/calls/crashing_requests.cc
+++ b/src/libquetzal/calls/crashing_requests.cc
@@ -31,7 +31,7 @@
         if (n == 0 && report.on_trial == 1) suspect.on_trial.insert(report.id);
         if (report.requests.size() == 1) suspect.ran_alone = true;
       }
-      servers_[report.id] = {report.server_version, report.instance};
+      servers_[report.id] = {report.software, report.instance};
     }
     for (const Acquittal& acquittal : acquittals) {
       const auto it = suspects_.find(acquittal.digest);
@@ -84,7 +84,7 @@
   };
 
   struct Server {
-    std::uint32_t version = 0;  ///< HashOfVersion.
+    std::uint32_t software = 0;
     std::string instance;
   };
 
@@ -118,7 +118,7 @@
     for (const std::uint64_t crash : suspect.crashes) {
       entry.crashes.push_back(crash);
       const Server& server = servers_.at(crash);
-      entry.server_versions.push_back(server.version);
+      entry.software.push_back(server.software);
       entry.instances.insert(server.instance);
     }
     entry.crashes_on_trial = suspect.on_trial.size();
@@ -131,9 +131,8 @@
 
 }  // namespace
 
-bool CrashingRequests::Entry::CrashedVersion(std::uint32_t version) const {
-  return std::find(server_versions.begin(), server_versions.end(), version) !=
-         server_versions.end();
+bool CrashingRequests::Entry::Crashed(std::uint32_t server_software) const {
+  return std::find(software.begin(), software.end(), server_software) != software.end();
 }
 
 CrashingRequests::CrashingRequests(const std::vector<CrashReport>& reports,
--- a/src/libquetzal/calls/crashing_requests.h
+++ b/src/libquetzal/calls/crashing_requests.h
@@ -36,14 +36,14 @@
  public:
   struct Entry {
     RequestFingerprint request;
-    std::vector<std::uint64_t> crashes;  ///< Ids of those that it ran in.
-    /// HashOfVersion of the servers: the n-th is of the n-th crash.
-    std::vector<std::uint32_t> server_versions;
-    std::set<std::string> instances;  ///< Whose servers crashed.
+    std::vector<std::uint64_t> crashes;   ///< Ids of those that it ran in.
+    std::vector<std::uint32_t> software;  ///< Of the server of the n-th crash.
+    std::set<std::string> instances;      ///< Whose servers crashed.
     std::size_t crashes_on_trial = 0;
 
     bool proven() const { return crashes_on_trial >= kCrashesOnTrial; }
-    bool CrashedVersion(std::uint32_t version) const;
+    /// True if a server with this HashOfSoftware crashed.
+    bool Crashed(std::uint32_t server_software) const;
   };
 
   /// Reports with the same id count once.
--- a/src/libquetzal/calls/request_trials.cc
+++ b/src/libquetzal/calls/request_trials.cc
@@ -20,7 +20,7 @@
   std::pair<bool, std::uint64_t> best_rank;
   for (const BackendTarget* target : targets) {
     if (target->state != SERVER_UP) continue;
-    if (!suspect.CrashedVersion(HashOfVersion(target->version))) continue;
+    if (!suspect.Crashed(HashOfSoftware(target->service, target->version))) continue;
     const std::string& name = target->instance;
     // A server that crashed before may have a cause of its own to crash again.
     const std::pair rank = {suspect.instances.count(name) == 0,
@@ -33,10 +33,10 @@
 }
 
 std::optional<RequestTrials::Run> RequestTrials::Begin(
-    const CrashingRequests::Entry& suspect, std::uint32_t server_version) {
+    const CrashingRequests::Entry& suspect, std::uint32_t software) {
   Run run{suspect.request.digest, {}};
   for (std::size_t n = 0; n < suspect.crashes.size(); ++n) {
-    if (suspect.server_versions[n] == server_version) {
+    if (suspect.software[n] == software) {
       run.crashes.push_back(suspect.crashes[n]);
     }
   }
--- a/src/libquetzal/calls/request_trials.h
+++ b/src/libquetzal/calls/request_trials.h
@@ -17,7 +17,7 @@
 
 /// The server among `targets` that a suspected request may run on, the same one for all
 /// nodes with these targets, so that a doubt costs one server at a time. Null when none
-/// is up that runs a version which crashed.
+/// is up that runs software that crashed.
 const BackendTarget* TrialServer(const CrashingRequests::Entry& suspect,
                                  const std::vector<const BackendTarget*>& targets);
 
@@ -31,9 +31,9 @@
     std::vector<std::uint64_t> crashes;  ///< That the run may acquit it of.
   };
 
-  /// Begins a run at a server with this version; null while another request is on trial.
+  /// Begins a run at a server with this software; null while another request is on trial.
   std::optional<Run> Begin(const CrashingRequests::Entry& suspect,
-                           std::uint32_t server_version);
+                           std::uint32_t software);
 
   /// Ends a run. `finished`: the server has answered. Returns the acquittal once enough
   /// runs have finished since the latest of the crashes became known.
--- a/src/libquetzal/node/crash_detector.cc
+++ b/src/libquetzal/node/crash_detector.cc
@@ -86,7 +86,7 @@
     crash.requests.push_back(cut.cut.request);
     if (untried.count(digest) == 0) ++crash.on_trial;
   }
-  crash.server_version = HashOfVersion(cuts.front().cut.server_version);
+  crash.software = cuts.front().cut.software;
   crashed_server_ = ended_server_;
   return crash;
 }
--- a/tests/calls/crashing_requests_test.cc
+++ b/tests/calls/crashing_requests_test.cc
@@ -75,17 +75,17 @@
 
 TEST(CrashingRequestsTest, AnEntryNamesTheServersThatCrashed) {
   CrashReport first = Crash(1, {10, 11});
-  first.server_version = 4;
+  first.software = 4;
   first.instance = "a";
   CrashReport second = Crash(2, {10, 12});
-  second.server_version = 5;
+  second.software = 5;
   second.instance = "b";
   const CrashingRequests requests({first, second});
   const auto* entry = requests.Find(RequestFingerprint{7, 10});
   ASSERT_NE(entry, nullptr);
-  EXPECT_TRUE(entry->CrashedVersion(4));
-  EXPECT_TRUE(entry->CrashedVersion(5));
-  EXPECT_FALSE(entry->CrashedVersion(6));
+  EXPECT_TRUE(entry->Crashed(4));
+  EXPECT_TRUE(entry->Crashed(5));
+  EXPECT_FALSE(entry->Crashed(6));
   EXPECT_EQ(entry->instances, (std::set<std::string>{"a", "b"}));
 }
 
--- a/tests/calls/request_trials_test.cc
+++ b/tests/calls/request_trials_test.cc
@@ -13,6 +13,8 @@
 
 constexpr int kRunsOfATrial = 8;
 
+const std::uint32_t kSoftware = HashOfSoftware("desk", "");
+
 class RequestTrialsTest : public ::testing::Test {
  protected:
   static CrashingRequests::Entry Suspect(std::uint64_t digest,
@@ -21,7 +23,7 @@
     CrashingRequests::Entry entry;
     entry.request = {7, digest};
     entry.crashes = crashes;
-    entry.server_versions.assign(crashes.size(), HashOfVersion(version));
+    entry.software.assign(crashes.size(), HashOfSoftware("desk", version));
     return entry;
   }
   /// Runs that finish one after the other; the acquittal of the last one.
@@ -29,7 +31,7 @@
     std::optional<Acquittal> acquittal;
     for (int n = 0; n < runs; ++n) {
       EXPECT_FALSE(acquittal) << "after " << n << " runs";
-      acquittal = trials_.End(*trials_.Begin(suspect, 0), true);
+      acquittal = trials_.End(*trials_.Begin(suspect, kSoftware), true);
     }
     return acquittal;
   }
@@ -46,7 +48,7 @@
 
 TEST_F(RequestTrialsTest, RunsThatDoNotFinishProveNothing) {
   for (int n = 0; n < 2 * kRunsOfATrial; ++n) {
-    EXPECT_FALSE(trials_.End(*trials_.Begin(Suspect(10, {1}), 0), false));
+    EXPECT_FALSE(trials_.End(*trials_.Begin(Suspect(10, {1}), kSoftware), false));
   }
 }
 
@@ -54,7 +56,7 @@
 // of before.
 TEST_F(RequestTrialsTest, ANewCrashRestartsTheTrial) {
   EXPECT_FALSE(Finish(Suspect(10, {1}), kRunsOfATrial - 1));
-  const auto earlier = trials_.Begin(Suspect(10, {1}), 0);
+  const auto earlier = trials_.Begin(Suspect(10, {1}), kSoftware);
   EXPECT_FALSE(Finish(Suspect(10, {1, 2}), kRunsOfATrial - 1));
   EXPECT_FALSE(trials_.End(*earlier, true)) << "it began before the crash was known";
   EXPECT_TRUE(Finish(Suspect(10, {1, 2}), 1));
@@ -62,23 +64,23 @@
 
 // Guards against a crash that does not show which of two requests caused it.
 TEST_F(RequestTrialsTest, OneRequestAtATime) {
-  const auto first = trials_.Begin(Suspect(10, {1}), 0);
-  const auto second = trials_.Begin(Suspect(10, {1}), 0);
+  const auto first = trials_.Begin(Suspect(10, {1}), kSoftware);
+  const auto second = trials_.Begin(Suspect(10, {1}), kSoftware);
   ASSERT_TRUE(first);
   ASSERT_TRUE(second);
-  EXPECT_FALSE(trials_.Begin(Suspect(11, {1}), 0));
+  EXPECT_FALSE(trials_.Begin(Suspect(11, {1}), kSoftware));
   trials_.End(*first, true);
-  EXPECT_FALSE(trials_.Begin(Suspect(11, {1}), 0));
+  EXPECT_FALSE(trials_.Begin(Suspect(11, {1}), kSoftware));
   trials_.End(*second, false);
-  EXPECT_TRUE(trials_.Begin(Suspect(11, {1}), 0));
+  EXPECT_TRUE(trials_.Begin(Suspect(11, {1}), kSoftware));
 }
 
 // Guards against a request that crashes the servers of one version, and is acquitted by
 // those of another.
 TEST_F(RequestTrialsTest, ARunSpeaksForItsVersionOnly) {
   CrashingRequests::Entry suspect = Suspect(10, {1, 2}, "v1");
-  suspect.server_versions[1] = HashOfVersion("v2");
-  const auto run = trials_.Begin(suspect, HashOfVersion("v2"));
+  suspect.software[1] = HashOfSoftware("desk", "v2");
+  const auto run = trials_.Begin(suspect, HashOfSoftware("desk", "v2"));
   ASSERT_TRUE(run);
   EXPECT_EQ(run->crashes, std::vector<std::uint64_t>{2});
 }
@@ -96,6 +98,7 @@
     for (const char* name : {"a", "b", "c", "d"}) {
       BackendTarget target;
       target.instance = name;
+      target.service = "desk";
       target.state = SERVER_UP;
       targets_.push_back(target);
     }
@@ -138,6 +141,13 @@
   EXPECT_NE(Choose(suspect), "");
 }
 
+// Guards against a request to several services that crashes those of one, and is
+// acquitted by another.
+TEST_F(TrialServerTest, AServerOfAnotherServiceIsNoTrial) {
+  for (BackendTarget& target : targets_) target.service = "portfolio";
+  EXPECT_EQ(Choose(Suspect(10, {1})), "");
+}
+
 TEST_F(TrialServerTest, OnlyServersThatAreUpAndOfAVersionThatCrashed) {
   targets_[2].version = "v2";
   EXPECT_EQ(Choose(Suspect(10, {1}, "v2")), "c");
--- a/tests/node/crash_detector_test.cc
+++ b/tests/node/crash_detector_test.cc
@@ -46,7 +46,7 @@
 TEST_F(CrashDetectorTest, RequestsOnTrialAreNamedFirst) {
   const auto cut = [this](std::uint64_t request, bool on_trial) {
     clock_.Advance(milliseconds(1));
-    detector_.RecordCut({"i-1", {1, request}, clock_.Now(), false, on_trial, "v2"});
+    detector_.RecordCut({"i-1", {1, request}, clock_.Now(), false, on_trial, 7});
   };
   cut(1, true);
   cut(2, false);
@@ -59,7 +59,7 @@
   ASSERT_EQ(crash->requests.size(), 3U);
   EXPECT_EQ(crash->requests[0].digest, 1U);
   EXPECT_EQ(crash->on_trial, 1U);
-  EXPECT_EQ(crash->server_version, HashOfVersion("v2"));
+  EXPECT_EQ(crash->software, 7U);
 }
 
 // Guards against lost or spoilt answers that count as crashes.
