Calls: nothing is computed for requests while none is suspected

Cause: nodes keep the list of crashing requests while it holds acquittals only, so that the crashes can be forgotten where they were reported. Each request then had its identity put together, body included, for ten minutes, to be looked up in an empty list.

--- a/src/libquetzal/calls/backend_call.cc
+++ b/src/libquetzal/calls/backend_call.cc
@@ -464,13 +464,13 @@
 
 CrashVerdict BackendCall::JudgeCrash() const {
   const auto matcher = context_->matcher();
-  if (!matcher || !matcher->snapshot().crashing) return CrashVerdict::kHarmless;
+  if (!matcher || !matcher->snapshot().HasSuspects()) return CrashVerdict::kHarmless;
   return matcher->snapshot().crashing->Judge(Identity(), body_ended_);
 }
 
 bool BackendCall::BeginTrial(const LocalBackendServer& server) {
   const auto matcher = context_->matcher();
-  if (!matcher || !matcher->snapshot().crashing) return true;
+  if (!matcher || !matcher->snapshot().HasSuspects()) return true;
   const auto* suspect = matcher->snapshot().crashing->Find(Identity().Fingerprint());
   const std::uint32_t software = HashOfSoftware(server.service, server.version);
   if (suspect == nullptr || !suspect->Crashed(software)) return true;
--- a/src/libquetzal/calls/caller_call.cc
+++ b/src/libquetzal/calls/caller_call.cc
@@ -160,7 +160,7 @@
 CrashVerdict CallerCall::JudgeCrash() {
   suspected_.reset();
   const auto matcher = context_->matcher();
-  if (!matcher || !matcher->snapshot().crashing) return CrashVerdict::kHarmless;
+  if (!matcher || !matcher->snapshot().HasSuspects()) return CrashVerdict::kHarmless;
   const RequestIdentity identity = Identity();
   const CrashVerdict verdict =
       matcher->snapshot().crashing->Judge(identity, body_.ended());
@@ -170,9 +170,8 @@
 
 const RolloutRouter::Targets& CallerCall::Targets(const RouteMatcher& matcher) {
   const RolloutRouter::Targets& targets = rollout_.Targets(matcher, service_);
-  const auto& crashing = matcher.snapshot().crashing;
-  if (!suspected_ || !crashing) return targets;
-  const CrashingRequests::Entry* suspect = crashing->Find(*suspected_);
+  if (!suspected_ || !matcher.snapshot().HasSuspects()) return targets;
+  const CrashingRequests::Entry* suspect = matcher.snapshot().crashing->Find(*suspected_);
   if (suspect == nullptr) return targets;
   const BackendTarget* trial_server = TrialServer(*suspect, matcher.Targets(service_));
   trial_targets_.clear();
--- a/src/libquetzal/calls/crashing_requests.cc
+++ b/src/libquetzal/calls/crashing_requests.cc
@@ -148,7 +148,7 @@
 
 CrashVerdict CrashingRequests::Judge(const RequestIdentity& request,
                                      bool body_complete) const {
-  if (empty() || by_head_.count(request.HeadDigest()) == 0) {
+  if (by_head_.count(request.HeadDigest()) == 0) {
     return CrashVerdict::kHarmless;
   }
   if (!body_complete && !request.body_full()) return CrashVerdict::kUndecided;
--- a/src/libquetzal/calls/routing_snapshot.h
+++ b/src/libquetzal/calls/routing_snapshot.h
@@ -31,6 +31,8 @@
   std::shared_ptr<const Configuration> configuration;
   std::vector<BackendTarget> targets;  ///< Sorted by service, then instance.
   std::shared_ptr<const CrashingRequests> crashing;  ///< Null when none are known.
+
+  bool HasSuspects() const { return crashing != nullptr && !crashing->empty(); }
 };
 
 /// Provides the current snapshot. Safe for use from several threads.
