Tests: the software of the trials' servers is a function

Cause: clang-tidy refuses the name of a constant that is not constexpr. Change: a function in its place; no check changes.

--- a/tests/calls/request_trials_test.cc
+++ b/tests/calls/request_trials_test.cc
@@ -13,7 +13,7 @@
 
 constexpr int kRunsOfATrial = 8;
 
-const std::uint32_t kSoftware = HashOfSoftware("desk", "");
+std::uint32_t Software() { return HashOfSoftware("desk", ""); }
 
 class RequestTrialsTest : public ::testing::Test {
  protected:
@@ -31,7 +31,7 @@
     std::optional<Acquittal> acquittal;
     for (int n = 0; n < runs; ++n) {
       EXPECT_FALSE(acquittal) << "after " << n << " runs";
-      acquittal = trials_.End(*trials_.Begin(suspect, kSoftware), true);
+      acquittal = trials_.End(*trials_.Begin(suspect, Software()), true);
     }
     return acquittal;
   }
@@ -48,7 +48,7 @@
 
 TEST_F(RequestTrialsTest, RunsThatDoNotFinishProveNothing) {
   for (int n = 0; n < 2 * kRunsOfATrial; ++n) {
-    EXPECT_FALSE(trials_.End(*trials_.Begin(Suspect(10, {1}), kSoftware), false));
+    EXPECT_FALSE(trials_.End(*trials_.Begin(Suspect(10, {1}), Software()), false));
   }
 }
 
@@ -56,7 +56,7 @@
 // of before.
 TEST_F(RequestTrialsTest, ANewCrashRestartsTheTrial) {
   EXPECT_FALSE(Finish(Suspect(10, {1}), kRunsOfATrial - 1));
-  const auto earlier = trials_.Begin(Suspect(10, {1}), kSoftware);
+  const auto earlier = trials_.Begin(Suspect(10, {1}), Software());
   EXPECT_FALSE(Finish(Suspect(10, {1, 2}), kRunsOfATrial - 1));
   EXPECT_FALSE(trials_.End(*earlier, true)) << "it began before the crash was known";
   EXPECT_TRUE(Finish(Suspect(10, {1, 2}), 1));
@@ -64,15 +64,15 @@
 
 // Guards against a crash that does not show which of two requests caused it.
 TEST_F(RequestTrialsTest, OneRequestAtATime) {
-  const auto first = trials_.Begin(Suspect(10, {1}), kSoftware);
-  const auto second = trials_.Begin(Suspect(10, {1}), kSoftware);
+  const auto first = trials_.Begin(Suspect(10, {1}), Software());
+  const auto second = trials_.Begin(Suspect(10, {1}), Software());
   ASSERT_TRUE(first);
   ASSERT_TRUE(second);
-  EXPECT_FALSE(trials_.Begin(Suspect(11, {1}), kSoftware));
+  EXPECT_FALSE(trials_.Begin(Suspect(11, {1}), Software()));
   trials_.End(*first, true);
-  EXPECT_FALSE(trials_.Begin(Suspect(11, {1}), kSoftware));
+  EXPECT_FALSE(trials_.Begin(Suspect(11, {1}), Software()));
   trials_.End(*second, false);
-  EXPECT_TRUE(trials_.Begin(Suspect(11, {1}), kSoftware));
+  EXPECT_TRUE(trials_.Begin(Suspect(11, {1}), Software()));
 }
 
 // Guards against a request that crashes the servers of one version, and is acquitted by
