--- a/tests/calls/crashing_request_test.cc
+++ b/tests/calls/crashing_request_test.cc
@@ -1,4 +1,5 @@
-// Requests that crash the backend servers that run them, beside ordinary requests.
+// Requests that crash the backend servers that run them, beside ordinary requests; see
+// backend_call_crashes.cc for what the node beside a server does.
 #include <algorithm>
 
 #include <gtest/gtest.h>
